--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -11,8 +11,8 @@
 from random import Random
 
 from dykeshift.interface import NOT_RUN, Action, AttemptEnd, Cancel, Fail, Idempotency, ListKind, LoadReport
-from dykeshift.interface import Outcome, Refuse, Request, RequestClass, Scope, Send, ServerEntry, ServerList
-from dykeshift.interface import ServerState, SetTimer, Settings, Watch
+from dykeshift.interface import Log, Outcome, Refuse, Request, RequestClass, Scope, Send, ServerEntry
+from dykeshift.interface import ServerList, ServerState, SetTimer, Settings, Watch
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
@@ -45,6 +45,7 @@
 LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
+LOG_SWEEPS = 2  # sweeps from one report in the log to the next
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
 ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
 
@@ -79,6 +80,7 @@
     ratio: float = 1.0  # running mean of its answers' latency over the usual one of their class
     report: LoadReport | None = None
     reported: int = 0
+    ends: dict[str, int] = field(default_factory=dict)  # of its attempts, until the next report
 
 
 @dataclass(slots=True, eq=False)
@@ -105,6 +107,14 @@
         return next((a for a in self.attempts if a.end not in NOT_RUN), None)
 
 
+def _count(counts: dict[str, int], name: str) -> None:
+    counts[name] = counts.get(name, 0) + 1
+
+
+def _told(counts: dict[str, int]) -> str:
+    return " ".join(f"{name}:{n}" for name, n in sorted(counts.items())) or "-"
+
+
 class Balancer:
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
@@ -124,6 +134,7 @@
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
+        self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
         self.acts: list[Action] = []
 
     def _done(self) -> list[Action]:
@@ -271,7 +282,10 @@
             self._gather(now)  # many requests: a start with few servers would refuse some of them
         self.yielded *= 1 - SMOOTH
         # A jam of the whole pool: rooms of single servers learn too slowly where each is met seldom.
-        (self._place if self.random() < self.admit else self._give_up)(now, item)
+        if self.random() < self.admit:
+            self._place(now, item)
+        else:
+            self._give_up(item, "not admitted")
         return self._done()
 
     def _place(self, now: int, item: Open) -> None:
@@ -345,7 +359,7 @@
         need = int(NEED * self._expected(item))  # what it will take: later than this it cannot be in time
         until = min(item.request.deadline - self.settings.step, item.arrived + item.klass.aim - need)
         if now >= until or not self._may_send(now, item):
-            self._give_up(now, item)
+            self._give_up(item, "no room" if self._may_send(now, item) else "too late")
             return
         again = now + int(item.klass.aim * HOLD_SHARE)
         self.acts.append(SetTimer("r:" + item.request.id, max(now + 1, min(again, until))))
@@ -358,12 +372,16 @@
             return []
         attempt = item.attempts[end.attempt]
         attempt.end = end.outcome
+        _count(attempt.server.ends, end.outcome.name)
         item.live -= 1
         self._learn(now, item, attempt.server, end)
         if end.final and not item.closed:
             self._close(item)
         elif not item.closed and not item.live:
-            (self._place if self._may_send(now, item) else self._give_up)(now, item)
+            if self._may_send(now, item):
+                self._place(now, item)
+            else:
+                self._give_up(item, end.outcome.name)
         self._forget(item)
         return self._done()
 
@@ -393,8 +411,9 @@
         if item.closed and not item.live:
             self.open.pop(item.request.id, None)
 
-    def _give_up(self, now: int, item: Open) -> None:
+    def _give_up(self, item: Open, why: str) -> None:
         """The final answer that no server gave: refused where that is true to the client, else failed."""
+        _count(self.gave_up, f"{item.klass.name} {why}")
         kind = item.klass.idempotency
         everywhere = kind is Idempotency.KEYED and item.klass.scope is Scope.ALL
         harmless = item.anchor() is None or kind is Idempotency.SAFE or everywhere
@@ -521,6 +540,8 @@
         # While servers warm up help is on its way, and larger rooms bridge the time until then.
         self.easy = EASY * (SOFTER if any(self._cold(now, s) for s in self.pool) else 1 - HARDER * self.crowd)
         self._appraise()
+        if self.sweeps % LOG_SWEEPS == 0:
+            self._report()
         self.servers = {n: s for n, s in self.servers.items()
                         if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)}
 
@@ -531,3 +552,13 @@
         per_work = [w / c * sum(costs) / sum(worths) for w, c in zip(worths, costs, strict=True)]
         fair = self.settings.fairness * len(worths)
         self.value = [min(1.0, (v + fair) / max(per_work)) for v in per_work]
+
+    def _report(self) -> None:
+        """The state by which requests are let in, held and placed, for those who run this."""
+        self.acts.append(Log(f"requests {self.arrived} admit {self.admit:.2f} crowd {self.crowd:.2f} "
+                             f"open {len(self.open)} gave up {_told(self.gave_up)}"))
+        for s in sorted(self.ready, key=lambda s: s.entry.id):
+            self.acts.append(Log(f"server {s.entry.id:x} zone {s.entry.zone} room {s.room:.2f} "
+                                 f"out {s.in_flight} pace {s.pace:.2f} ends {_told(s.ends)}"))
+            s.ends.clear()
+        self.gave_up.clear()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,6 +15,7 @@
     Idempotency,
     ListKind,
     LoadReport,
+    Log,
     Outcome,
     Refuse,
     Scope,
@@ -227,3 +228,15 @@
     (refusal,) = (a for a in world.actions if isinstance(a, Refuse))
     assert least <= refusal.retry_after <= limit
     world.settle()
+
+
+def test_the_log_tells_why_requests_are_given_up_and_how_servers_answer() -> None:
+    w = World(make_settings())
+    w.submit()  # no server is known
+    w.advance(200 * MS)
+    w.announce(ListKind.FULL, entry(1))
+    w.end_all(w.submit(), Outcome.ERROR)  # and no other is there
+    w.advance(S)
+    lines = [a.text for a in w.actions if isinstance(a, Log)]
+    assert any("gave up read no room:2" in line for line in lines)
+    assert any(line.startswith("server 1 ") and line.endswith("ends ERROR:1") for line in lines)
