A class that hangs at a server no longer takes the server's room from the others

The log names the class of each end. Ruled out by single attempts: connections (new and reused ones hang alike) and choked servers (no such price).

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -80,7 +80,7 @@
     ratio: float = 1.0  # running mean of its answers' latency over the usual one of their class
     report: LoadReport | None = None
     reported: int = 0
-    ends: dict[str, int] = field(default_factory=dict)  # of its attempts, until the next report
+    ends: dict[str, int] = field(default_factory=dict)  # of its attempts, by class, until the next report
 
 
 @dataclass(slots=True, eq=False)
@@ -285,7 +285,7 @@
         if self.random() < self.admit:
             self._place(now, item)
         else:
-            self._give_up(item, "not admitted")
+            self._give_up(item, "not-admitted")
         return self._done()
 
     def _place(self, now: int, item: Open) -> None:
@@ -359,7 +359,7 @@
         need = int(NEED * self._expected(item))  # what it will take: later than this it cannot be in time
         until = min(item.request.deadline - self.settings.step, item.arrived + item.klass.aim - need)
         if now >= until or not self._may_send(now, item):
-            self._give_up(item, "no room" if self._may_send(now, item) else "too late")
+            self._give_up(item, "no-room" if self._may_send(now, item) else "too-late")
             return
         again = now + int(item.klass.aim * HOLD_SHARE)
         self.acts.append(SetTimer("r:" + item.request.id, max(now + 1, min(again, until))))
@@ -372,7 +372,7 @@
             return []
         attempt = item.attempts[end.attempt]
         attempt.end = end.outcome
-        _count(attempt.server.ends, end.outcome.name)
+        _count(attempt.server.ends, f"{item.klass.name}/{end.outcome.name}")
         item.live -= 1
         self._learn(now, item, attempt.server, end)
         if end.final and not item.closed:
@@ -413,7 +413,7 @@
 
     def _give_up(self, item: Open, why: str) -> None:
         """The final answer that no server gave: refused where that is true to the client, else failed."""
-        _count(self.gave_up, f"{item.klass.name} {why}")
+        _count(self.gave_up, f"{item.klass.name}/{why}")
         kind = item.klass.idempotency
         everywhere = kind is Idempotency.KEYED and item.klass.scope is Scope.ALL
         harmless = item.anchor() is None or kind is Idempotency.SAFE or everywhere
@@ -428,9 +428,12 @@
     # ---- health ----
 
     def _learn(self, now: int, item: Open, server: Server, end: AttemptEnd) -> None:
-        self._judge(now, item, server, end)
+        lane = server.lanes[item.request.klass]
+        self._judge_lane(now, item, lane, end)
+        unanswered = end.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED)
+        if not (unanswered and lane.failures >= HUNG and server.quiet_since > now - end.latency):
+            self._judge(now, item, server, end)  # else this class alone hangs there: others had answers since
         server.in_flight -= 1
-        self._judge_lane(now, item, server.lanes[item.request.klass], end)
         if end.report is not None:
             server.report, server.reported = end.report, now
         if end.outcome in ANSWERS:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -238,5 +238,5 @@
     w.end_all(w.submit(), Outcome.ERROR)  # and no other is there
     w.advance(S)
     lines = [a.text for a in w.actions if isinstance(a, Log)]
-    assert any("gave up read no room:2" in line for line in lines)
-    assert any(line.startswith("server 1 ") and line.endswith("ends ERROR:1") for line in lines)
+    assert any("gave up read/no-room:2" in line for line in lines)
+    assert any(line.startswith("server 1 ") and line.endswith("ends read/ERROR:1") for line in lines)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.harness import CLASSES, MS, Seen, World, entry, make_settings
+from tests.harness import CLASSES, MS, S, Seen, World, entry, make_settings
 from dykeshift.interface import ListKind, LoadReport, Outcome, Request
 
 
@@ -422,3 +422,20 @@
     world.advance(220 * MS)
     assert len(world.requests[lost].servers) == 2
     world.settle()
+
+
+def test_a_class_that_hangs_leaves_the_server_to_the_others() -> None:
+    """Recording inc7570: photos hung at five of eight servers, and verdicts found no room there."""
+    world = fleet(1)
+    for klass in (0, 3):
+        warm_up(world, 60, klass)
+    for _ in range(12):
+        world.advance(6 * S)  # the longest rest of a class is over
+        tried, verdict = world.submit(0), world.submit(3)
+        world.advance(180 * MS)  # in good time, yet not so quick that the room grows
+        world.end_all(verdict)
+        world.advance(20 * MS)
+        world.end_all(tried, Outcome.TIMEOUT)
+    assert world.balancer.servers[0].room >= 1
+    assert world.requests[world.submit(3)].servers == [0], "the class that is answered there is sent nowhere"
+    world.settle()
