Advise clients past their aim to stay away for the rest of their time

A request given up at its aim was refused with Retry-After of 4 to 6 ms, though no retry can be in time any more.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -285,7 +285,7 @@
         if self.random() < self.admit:
             self._place(now, item)
         else:
-            self._give_up(item, "not-admitted")
+            self._give_up(now, item, "not-admitted")
         return self._done()
 
     def _place(self, now: int, item: Open) -> None:
@@ -359,7 +359,7 @@
         need = int(NEED * self._expected(item))  # what it will take: later than this it cannot be in time
         until = min(item.request.deadline - self.settings.step, item.arrived + item.klass.aim - need)
         if now >= until or not self._may_send(now, item):
-            self._give_up(item, "no-room" if self._may_send(now, item) else "too-late")
+            self._give_up(now, item, "no-room" if self._may_send(now, item) else "too-late")
             return
         again = now + int(item.klass.aim * HOLD_SHARE)
         self.acts.append(SetTimer("r:" + item.request.id, max(now + 1, min(again, until))))
@@ -381,7 +381,7 @@
             if self._may_send(now, item):
                 self._place(now, item)
             else:
-                self._give_up(item, end.outcome.name)
+                self._give_up(now, item, end.outcome.name)
         self._forget(item)
         return self._done()
 
@@ -411,19 +411,24 @@
         if item.closed and not item.live:
             self.open.pop(item.request.id, None)
 
-    def _give_up(self, item: Open, why: str) -> None:
+    def _give_up(self, now: int, item: Open, why: str) -> None:
         """The final answer that no server gave: refused where that is true to the client, else failed."""
         _count(self.gave_up, f"{item.klass.name}/{why}")
         kind = item.klass.idempotency
         everywhere = kind is Idempotency.KEYED and item.klass.scope is Scope.ALL
         harmless = item.anchor() is None or kind is Idempotency.SAFE or everywhere
         rid = item.request.id
-        self.acts.append(Refuse(rid, self._advice(item)) if harmless else Fail(rid))
+        self.acts.append(Refuse(rid, self._advice(now, item)) if harmless else Fail(rid))
         self._close(item)
 
-    def _advice(self, item: Open) -> int:
+    def _advice(self, now: int, item: Open) -> int:
         """When to come back: soon, while a retry can still be in time; later the fewer are let in."""
-        return int(min(item.klass.aim * ADVICE_SHARE / self.admit, self.settings.retry_advice_limit))
+        wait = item.klass.aim * ADVICE_SHARE / self.admit
+        if now + self.settings.step >= item.arrived + item.klass.aim and not item.klass.late_share:
+            # No retry is in time any more, it would only take a server from those that are: not before
+            # the time is over that the client waits for this one in all.
+            wait = item.arrived + item.klass.deadline - now
+        return int(min(wait, self.settings.retry_advice_limit))
 
     # ---- health ----
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -230,6 +230,17 @@
     world.settle()
 
 
+def test_a_client_whose_answer_can_no_longer_be_in_time_is_told_to_stay_away() -> None:
+    """Recording inc7570: such clients were asked back within milliseconds, for nothing."""
+    world = fleet(1, retry_advice_limit=2 * S)
+    rid = world.submit(0)
+    world.advance(CLASSES[0].aim)
+    world.end_all(rid, Outcome.TIMEOUT)
+    (refusal,) = (a for a in world.actions if isinstance(a, Refuse))
+    assert refusal.retry_after == CLASSES[0].deadline - CLASSES[0].aim
+    world.settle()
+
+
 def test_the_log_tells_why_requests_are_given_up_and_how_servers_answer() -> None:
     w = World(make_settings())
     w.submit()  # no server is known
