--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -33,7 +33,7 @@
     driver = Driver(loop, Balancer(given.settings, given.seed), pool, lambda: discovery.watch())
     discovery = Discovery(loop, given.discovery, Reader(given.zones, given.kinds), driver.apply,
                           driver.discovery_failed, not given.settings.ask_discovery)
-    front = Front(loop, driver, requests.Reader(given.settings.classes), given.connections)
+    front = Front(loop, driver, requests.Reader(given.settings.classes, given.tenants), given.connections)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -30,6 +30,7 @@
     settings: Settings
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
+    tenants: tuple[str, ...]
     keepalive: float  # seconds after which an upstream closes an idle connection
     connect_timeout: float  # seconds
 
@@ -75,6 +76,7 @@
         settings=parse_settings(given),
         zones=tuple(map(str, given.get("failureDomains", ()))),
         kinds=tuple(map(str, given.get("kinds", ()))),
+        tenants=tuple(str(need(p, "name", "settings.parties[].")) for p in given.get("parties", ())),
         keepalive=float(need(limits, "keepaliveNs", "bounds.")) / 1e9,
         connect_timeout=float(need(limits, "connectTimeoutNs", "bounds.")) / 1e9,
     )
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -95,7 +95,7 @@
         # Rounded up: a timer that fires early would let the module begin once more in the last instant.
         job.guard = self.loop.call_later(max(0, left) / 1e9 + 0.001, self._expire, job)
         request = Request(id=incoming.id, klass=incoming.klass, deadline=deadline,
-                          cost_hint=incoming.cost_hint, retry=incoming.retry)
+                          cost_hint=incoming.cost_hint, retry=incoming.retry, tenant=incoming.tenant)
         self._tell(self.balancer.on_request, request, job=job)
 
     def client_gone(self, request_id: str) -> None:
--- a/dykeshift/node/requests.py
+++ b/dykeshift/node/requests.py
@@ -24,6 +24,7 @@
     klass: int
     patience: int  # nanoseconds that the client waits, from its sending
     retry: bool
+    tenant: int
     cost_hint: int
     head: bytes  # request line and headers for the upstream, but for the deadline's value
     body: bytes
@@ -52,10 +53,11 @@
 
 
 class Reader:
-    """Knows the classes; turns a whole HTTP message into a request or raises BadRequest."""
+    """Knows classes and tenants; turns a whole HTTP message into a request or raises BadRequest."""
 
-    def __init__(self, classes: tuple[RequestClass, ...]) -> None:
+    def __init__(self, classes: tuple[RequestClass, ...], tenants: tuple[str, ...]) -> None:
         self.classes = classes
+        self.tenants = {name.encode(): n for n, name in enumerate(tenants)}
         self.numbers: dict[bytes, int] = {c.name.encode(): n for n, c in enumerate(classes)}
 
     def read(self, method: bytes, target: bytes, headers: dict[bytes, bytes],
@@ -84,6 +86,7 @@
             klass=number,
             patience=min(patience, klass.deadline),
             retry=headers.get(b"x-retry") == b"1",
+            tenant=self.tenants.get(headers.get(b"x-tenant", b""), len(self.tenants)),  # unknown: no share
             cost_hint=_number(headers, b"x-cost-hint") * 1000 if b"x-cost-hint" in headers else 0,
             head=head + b"X-Deadline-Ms: ",
             body=bytes(body),
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -44,6 +44,7 @@
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
 LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
+SHARE_WINDOW = 3.0  # seconds: what a tenant leaves of its share is kept so long for it
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
 LOG_SWEEPS = 2  # sweeps from one report in the log to the next
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
@@ -101,6 +102,7 @@
     live: int = 0
     closed: bool = False
     streaming: bool = False
+    beyond: bool = False  # its tenant's share
 
     def anchor(self) -> Attempt | None:
         """The first attempt that may have run: it binds where and until when a repeat may go."""
@@ -134,6 +136,8 @@
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
+        self.unused = [share / settings.balancers * SHARE_WINDOW for share in settings.shares]  # by tenant
+        self.refilled = 0  # when these last grew
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
         self.acts: list[Action] = []
 
@@ -276,7 +280,7 @@
 
     def on_request(self, now: int, request: Request) -> list[Action]:
         klass = self.settings.classes[request.klass]
-        item = self.open[request.id] = Open(request, klass, now)
+        item = self.open[request.id] = Open(request, klass, now, beyond=self._beyond(now, request))
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
         if self.arrived == len(self.pool) and self.sweeps < 2:
             self._gather(now)  # many requests: a start with few servers would refuse some of them
@@ -288,9 +292,26 @@
             self._give_up(now, item, "not-admitted")
         return self._done()
 
+    def _beyond(self, now: int, request: Request) -> bool:
+        """Whether the tenant has used up its share, of which each balancer keeps an equal part.
+
+        A client's retry belongs to its first try and uses up nothing.
+        """
+        for n, share in enumerate(self.settings.shares):
+            part = share / self.settings.balancers
+            self.unused[n] = min(part * SHARE_WINDOW, self.unused[n] + part * (now - self.refilled) / 1e9)
+        self.refilled = now
+        if not self.unused:
+            return False
+        if request.tenant >= len(self.unused) or self.unused[request.tenant] < 1:
+            return True
+        self.unused[request.tenant] -= not request.retry
+        return False
+
     def _place(self, now: int, item: Open) -> None:
         """RIQ for a request that has nothing out."""
-        dear = self.crowd > self.value[item.request.klass] and not item.attempts
+        value = self.value[item.request.klass] * (self.settings.over_share_worth if item.beyond else 1.0)
+        dear = self.crowd > value and not item.attempts
         drawn = [] if dear else self._draw(now, item)
         if now == item.arrived:  # those made to wait count as well placed: low classes alone are not starved
             self.crowd = min(1.0, max(0.0, self.crowd + CROWD_STEP * ((not drawn and not dear) - CROWD_FREE)))
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -86,6 +86,8 @@
             step=int(raw.get("stepNs", 0)),
             worth_by_work=raw.get("valueBy") == "work",
             fairness=worst / (1 - worst),
+            shares=tuple(float(need(p, "quotaPerS", "parties[].")) for p in raw.get("parties", ())),
+            over_share_worth=float(raw.get("overShareWorth", 1.0)),
             retry_advice_limit=int(limits.get("maxRetryAfterNs", 0)) if limits.get("retryAfter") else 0,
         )
     except (TypeError, ValueError, AttributeError) as exc:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -137,10 +137,11 @@
 
     # -- what happens to it --
 
-    def submit(self, klass: int = 0, patience: int | None = None, hint: int = 0) -> str:
+    def submit(self, klass: int = 0, patience: int | None = None, hint: int = 0, tenant: int = 0) -> str:
         self.count += 1
         rid, k = f"q{self.count}", self.settings.classes[klass]
-        request = Request(id=rid, klass=klass, deadline=self.now + (patience or k.deadline), cost_hint=hint)
+        request = Request(id=rid, klass=klass, deadline=self.now + (patience or k.deadline), cost_hint=hint,
+                          tenant=tenant)
         self.requests[rid] = Seen(request, k)
         self.play(self.balancer.on_request(self.now, request))
         return rid
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -141,6 +141,8 @@
     return {
         "az": 0, "balancers": 1, "discovery": "ask", "stepNs": 2_000_000, "failureDomains": ["a", "b"],
         "kinds": ["m"], "report": {"fields": ["cpu_share"], "how": "piggyback"},
+        "parties": [{"name": "acme", "quotaPerS": 50.0}, {"name": "globex", "quotaPerS": 25.0}],
+        "overShareWorth": 0.2,
         "bounds": {"cancelling": True, "maxAttempts": 3, "secondCopies": True, "retryAfter": True,
                    "maxRetryAfterNs": 750_000_000, "keepaliveNs": 10_000_000_000,
                    "connectTimeoutNs": 2_000_000_000},
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -188,6 +188,26 @@
     run(main())
 
 
+def test_the_module_is_told_the_tenant_and_the_shares() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            module, told = balancer.front.driver.balancer, []
+            decide = module.on_request
+
+            def on_request(now: int, request: Request) -> list[Action]:
+                told.append(request.tenant)
+                return decide(now, request)
+
+            module.on_request = on_request  # type: ignore[method-assign]
+            for n, tenant in enumerate(["globex", "acme", "stranger"]):
+                assert status(await balancer.ask(request(rid=f"r{n}", X_Tenant=tenant))) == 200
+            assert told == [1, 0, 2]
+            assert (module.settings.shares, module.settings.over_share_worth) == ((50.0, 25.0), 0.2)
+
+    run(main())
+
+
 def test_the_deadline_ends_it_and_its_attempt() -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -439,3 +439,17 @@
     assert world.balancer.servers[0].room >= 1
     assert world.requests[world.submit(3)].servers == [0], "the class that is answered there is sent nowhere"
     world.settle()
+
+
+def test_in_a_crowd_a_tenant_beyond_its_share_does_not_push_out_those_within() -> None:
+    """Score day overload: 64% of the requests within a share were refused, and 66% of those beyond."""
+    world = fleet(1, balancers=1, shares=(20.0, 20.0), over_share_worth=0.2)
+    for turn in range(1600):  # 125 requests a second where one server answers 50
+        world.submit(3, tenant=0 if turn % 8 == 0 else 1)
+        world.advance(8 * MS)
+        if turn % 5 < 2 and world.out():
+            world.end(*world.out()[0], Outcome.OK)
+    world.settle()
+    finals = [[r.final for r in world.requests.values() if r.request.tenant == n] for n in (0, 1)]
+    within, beyond = (f.count("OK") / len(f) for f in finals)
+    assert within > 0.8 and within > 2 * beyond, f"served {within:.2f} of those within, {beyond:.2f} beyond"
