--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -371,9 +371,8 @@
         lane.out += 1
         if lane.out == 1:
             lane.quiet_since = now
-        # What is late and worth nothing is called off at the aim: the server is freed for those in time.
-        timeout = 0 if item.klass.late_share else item.arrived + item.klass.aim - now
-        self.acts.append(Send(item.request.id, server.entry.id, timeout))
+        # Until the client's own deadline: called off at the aim, it would come back and be begun anew.
+        self.acts.append(Send(item.request.id, server.entry.id, 0))
 
     def _hold(self, now: int, item: Open) -> None:
         """Nowhere to go: look again soon, and answer before an answer stops being worth waiting for."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.harness import CLASSES, MS, S, Seen, World, entry, make_settings
-from dykeshift.interface import ListKind, LoadReport, Outcome, Request
+from dykeshift.interface import Cancel, ListKind, LoadReport, Outcome, Request, Send
 
 
 def fleet(n: int = 6, seed: int = 1, **changes: object) -> World:
@@ -453,3 +453,16 @@
     finals = [[r.final for r in world.requests.values() if r.request.tenant == n] for n in (0, 1)]
     within, beyond = (f.count("OK") / len(f) for f in finals)
     assert within > 0.8 and within > 2 * beyond, f"served {within:.2f} of those within, {beyond:.2f} beyond"
+
+
+def test_what_a_server_works_on_is_not_called_off_at_the_aim() -> None:
+    """Score days 2 and big-1: the client came back, and the same long work was begun again from its start."""
+    world = fleet(1)
+    rid = world.submit(0)
+    (send,) = (a for a in world.actions if isinstance(a, Send))
+    assert send.timeout == 0
+    world.advance(CLASSES[0].aim + 100 * MS)
+    assert not any(isinstance(a, Cancel) for a in world.actions)
+    world.end(rid, 0, Outcome.OK)
+    assert world.requests[rid].final == "OK"
+    world.settle()
