--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -81,6 +81,7 @@
     ratio: float = 1.0  # running mean of its answers' latency over the usual one of their class
     report: LoadReport | None = None
     reported: int = 0
+    left: list[int] = field(default_factory=list)  # until when its abandoned attempts count as running
     ends: dict[str, int] = field(default_factory=dict)  # of its attempts, by class, until the next report
 
 
@@ -240,7 +241,13 @@
         if now < server.lanes[item.request.klass].rest_until:
             return False
         # Room prevents the jam in which every server holds more than it can finish in time.
-        return server.in_flight < server.room and now >= server.rest_until and self._cold_room(now, server)
+        held = server.in_flight + self._left_there(now, server)
+        return held < server.room and now >= server.rest_until and self._cold_room(now, server)
+
+    def _left_there(self, now: int, server: Server) -> int:
+        """Attempts that nobody waits for any more and that the server may still work on."""
+        server.left = [until for until in server.left if until > now]
+        return len(server.left)
 
     def _may_send(self, now: int, item: Open) -> bool:
         """Whether one more attempt breaks no rule, to a server that _allowed lets through."""
@@ -459,6 +466,8 @@
         if not (unanswered and lane.failures >= HUNG and server.quiet_since > now - end.latency):
             self._judge(now, item, server, end)  # else this class alone hangs there: others had answers since
         server.in_flight -= 1
+        if unanswered:  # work is heavy-tailed: what has run for so long may well run as long again
+            server.left.append(now + end.latency)
         if end.report is not None:
             server.report, server.reported = end.report, now
         if end.outcome in ANSWERS:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -466,3 +466,21 @@
     world.end(rid, 0, Outcome.OK)
     assert world.requests[rid].final == "OK"
     world.settle()
+
+
+def test_what_nobody_waits_for_any_more_still_takes_room_at_its_server() -> None:
+    """Score day big-2: servers choked on work that had been abandoned and that the rooms no longer held."""
+    world = fleet(1)
+    for _ in range(20):
+        world.submit(0)
+    held = len(world.out())
+    world.advance(300 * MS)
+    for rid in [rid for rid, _ in world.out()]:
+        world.gone(rid)
+        world.end_all(rid, Outcome.CANCELLED)
+    server = world.balancer.servers[0]
+    server.room, server.rest_until = held, 0
+    assert world.requests[world.submit(3)].servers == [], "filled a server that may still be full"
+    world.advance(300 * MS)
+    assert world.requests[world.submit(3)].servers == [0]
+    world.settle()
