After SIGTERM serve those connected until shortly before SIGKILL

The program closed its clients' connections at once and its listener after 0.6 s. Now they are served while there is time to answer before SIGKILL, with deadlines cut to that; /ready says 503 as before.

Ruled out: lost requests, none were; the front, as none failed while the other balancer served.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from functools import partial
 
@@ -22,6 +23,9 @@
 from dykeshift.rules import Balancer
 
 LINGER = 0.6  # seconds after SIGTERM in which new connections still come
+KILL, KILL_MOST = 0.7, 3.0  # SIGKILL comes so long after the longest deadline, or after the most if longer
+MARGIN = 0.1  # seconds by which all is answered before it
+LAST = 0.3  # seconds before that in which no client is kept any more
 BACKLOG = 1024  # connections that may wait to be accepted
 TICK = 0.02  # seconds between two looks whether all is answered
 
@@ -57,13 +61,18 @@
 
 
 async def wind_down(front: Front, server: asyncio.Server, longest: float) -> None:
-    """Let go of the clients: none is turned away while some may still come, all taken are answered."""
+    """Let go of the clients: none is turned away while some may still come, all taken are answered.
+
+    Those connected are served for as long as there is time: let go at once, they found nobody where the
+    other balancers were being restarted too.
+    """
     loop = asyncio.get_running_loop()
-    front.stopping = True
-    until = loop.time() + LINGER
-    while loop.time() < until:
-        front.close_idle()
+    front.stopping, began = True, loop.time()
+    killed = min(longest, KILL_MOST) + KILL - MARGIN
+    front.driver.until = time.monotonic_ns() + int(killed * 1e9)
+    while loop.time() < began + LINGER or (front.clients and loop.time() < began + killed - LAST):
         await asyncio.sleep(TICK)
+    front.closing = True
     server.close()
     until = loop.time() + longest  # what is unfinished then is no request: half sent, or an answer unread
     while loop.time() < until and any(not client.between() for client in front.clients):
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -80,6 +80,7 @@
         self.pool = pool
         self.watch = watch
         self.jobs: dict[str, Job] = {}
+        self.until: int | None = None  # when all must be answered: the program is being stopped
         self.ready: set[int] = set()  # upstreams that the list held shows as running
 
     # ---- events ----
@@ -90,6 +91,8 @@
     def submit(self, incoming: Incoming, arrived: int, reply: Callable[[Reply], None]) -> None:
         """Take a request; `reply` is called exactly once, unless the client goes first."""
         deadline = arrived + max(0, incoming.patience - RETURN)
+        if self.until is not None:
+            deadline = min(deadline, self.until)
         job = self.jobs[incoming.id] = Job(incoming, deadline, reply)
         left = deadline - time.monotonic_ns()
         # Rounded up: a timer that fires early would let the module begin once more in the last instant.
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -47,7 +47,7 @@
         self.limit = limit
         self.clients: set[Client] = set()
         self.served = 0  # those of them that have been answered
-        self.stopping = False
+        self.stopping = self.closing = False  # no longer ready; letting go of the clients
         self.sweeper = loop.call_later(SWEEP, self.sweep)
 
     def connect(self) -> Client:
@@ -247,7 +247,7 @@
             return
         # In a crowd a first answer ends its connection: many clients ask once and stay, and those that
         # come back would find no room, nor a descriptor of their own to come with.
-        keep = self.keep and not self.front.stopping and (self.answers > 0 or not self.front.crowded())
+        keep = self.keep and not self.front.closing and (self.answers > 0 or not self.front.crowded())
         self.busy, self.began, self.request_id, self.fed = False, 0, "", 0
         self.front.served += not self.answers
         self.since, self.answers = self.front.loop.time(), self.answers + 1
