In a crowd, refuse at once the retries that are known to be past their aim

Such a retry took the place of requests that could be in time. It is refused at once, with advice to stay away, and served as before where there is no crowd. Clients whose patience differs from one to the next may be taken for late; only retries, and in a crowd.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -44,6 +44,7 @@
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
 LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
+TRY_SLACK = 0.05  # of the time for a first try: a retry's may differ by this without telling anything
 SHARE_WINDOW = 3.0  # seconds: what a tenant leaves of its share is kept so long for it
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
 LOG_SWEEPS = 2  # sweeps from one report in the log to the next
@@ -137,6 +138,7 @@
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
+        self.patience = [0] * len(settings.classes)  # of the latest first try
         self.unused = [share / settings.balancers * SHARE_WINDOW for share in settings.shares]  # by tenant
         self.refilled = 0  # when these last grew
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
@@ -293,12 +295,26 @@
             self._gather(now)  # many requests: a start with few servers would refuse some of them
         self.yielded *= 1 - SMOOTH
         # A jam of the whole pool: rooms of single servers learn too slowly where each is met seldom.
-        if self.random() < self.admit:
+        if not request.retry:
+            self.patience[request.klass] = request.deadline - now
+        if self.crowd > 0 and self._past_aim(item):
+            self._give_up(now, item, "past-aim")  # it would take the place of one that can be in time
+        elif self.random() < self.admit:
             self._place(now, item)
         else:
             self._give_up(now, item, "not-admitted")
         return self._done()
 
+    def _past_aim(self, item: Open) -> bool:
+        """Whether a retry's client first asked so long ago that no answer is in time any more.
+
+        It waits as long as for a first try, unless that is not what is left of its time for all tries.
+        """
+        usual, left = self.patience[item.request.klass], item.request.deadline - item.arrived
+        if not item.request.retry or item.klass.late_share or abs(left - usual) <= usual * TRY_SLACK:
+            return False
+        return item.klass.deadline - left > item.klass.aim
+
     def _beyond(self, now: int, request: Request) -> bool:
         """Whether the tenant has used up its share, of which each balancer keeps an equal part.
 
@@ -451,7 +467,8 @@
     def _advice(self, now: int, item: Open) -> int:
         """When to come back: soon, while a retry can still be in time; later the fewer are let in."""
         wait = item.klass.aim * ADVICE_SHARE / self.admit
-        if now + self.settings.step >= item.arrived + item.klass.aim and not item.klass.late_share:
+        late = now + self.settings.step >= item.arrived + item.klass.aim and not item.klass.late_share
+        if late or self._past_aim(item):
             # No retry is in time any more, it would only take a server from those that are: not before
             # the time is over that the client waits for this one in all.
             wait = item.arrived + item.klass.deadline - now
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.harness import CLASSES, MS, S, Seen, World, entry, make_settings
-from dykeshift.interface import Cancel, ListKind, LoadReport, Outcome, Request, Send
+from dykeshift.interface import Cancel, ListKind, LoadReport, Outcome, Refuse, Request, Send
 
 
 def fleet(n: int = 6, seed: int = 1, **changes: object) -> World:
@@ -484,3 +484,29 @@
     world.advance(300 * MS)
     assert world.requests[world.submit(3)].servers == [0]
     world.settle()
+
+
+def test_in_a_crowd_a_retry_that_is_past_its_aim_is_refused_at_once() -> None:
+    """Recording inc7570: clients came back with 160 of 199 ms left, when only 120 had been of use to them."""
+    world = fleet(1, retry_advice_limit=2 * S)
+    k = CLASSES[0]
+
+    def ask(patience: int, retry: bool) -> str:
+        request = Request(f"p{len(world.requests)}", 0, world.now + patience, retry=retry)
+        world.requests[request.id] = Seen(request, k)
+        world.play(world.balancer.on_request(world.now, request))
+        return request.id
+
+    ask(240 * MS, False)
+    late, last = 150 * MS, 270 * MS  # first asked 350 and 230 ms ago, and 200 ms is the aim
+    tries = [(late, True, "Refuse"), (last, True, "Refuse"), (240 * MS, True, ""), (350 * MS, True, ""),
+             (150 * MS, False, "")]
+    for patience, retry, final in tries:
+        world.balancer.crowd = 0.01
+        assert world.requests[ask(patience, retry)].final == final, (patience, retry)
+        ask(240 * MS, False)
+    advice = [a.retry_after for a in world.actions if isinstance(a, Refuse)]
+    assert min(advice) == k.deadline  # longer than the client has
+    world.balancer.crowd = 0.0
+    assert world.requests[ask(late, True)].final == ""  # none is kept from it then
+    world.settle()
