--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -22,6 +22,8 @@
 from dykeshift.node.upstream import Pool
 from dykeshift.rules import Balancer
 
+log = logging.getLogger(__name__)
+
 LINGER = 0.6  # seconds after SIGTERM in which new connections still come
 KILL, KILL_MOST = 0.7, 3.0  # SIGKILL comes so long after the longest deadline, or after the most if longer
 MARGIN = 0.1  # seconds by which all is answered before it
@@ -70,6 +72,8 @@
     front.stopping, began = True, loop.time()
     killed = min(longest, KILL_MOST) + KILL - MARGIN
     front.driver.until = time.monotonic_ns() + int(killed * 1e9)
+    jobs = front.driver.jobs
+    log.info("stopping: %d clients are connected, %d requests open", len(front.clients), len(jobs))
     while loop.time() < began + LINGER or (front.clients and loop.time() < began + killed - LAST):
         await asyncio.sleep(TICK)
     front.closing = True
@@ -78,6 +82,7 @@
     while loop.time() < until and any(not client.between() for client in front.clients):
         front.close_idle()
         await asyncio.sleep(TICK)
+    log.info("stopped: %d clients are left, %d requests open", len(front.clients), len(jobs))
 
 
 def main() -> int:
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -148,7 +148,7 @@
 def test_sigterm_answers_and_lets_go_of_those_who_stay_before_it_is_killed(tmp_path: Path) -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
-        async with program(stub, tmp_path) as (process, port):
+        async with program(stub, tmp_path, stderr=asyncio.subprocess.PIPE) as (process, port):
             idle, waiting = await call(port), await call(port)
             assert "200" in (await idle.ask(b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n")).start
             process.send_signal(signal.SIGTERM)
@@ -157,6 +157,9 @@
             got = await waiting.ask(request("send", rid="waiting", deadline=5000))
             assert int(got.start.split()[1]) >= 500 and got.headers["connection"] == "close"
             assert await idle.reader.read() == b""
+            assert process.stderr is not None
+            told = (await process.stderr.read()).decode()
+            assert "stopping: 2 clients are connected" in told and "stopped: 0 clients are left" in told
             assert await process.wait() == 0
 
     run(main())
