Draw only from servers that an instance meets often enough to know

Each instance had 20 requests a second and drew from all 60 servers: 32 of 40 were at each server, each met it once in 2 to 3 s, so its own count was always none, and the room of a server, 0.1 for each, bounded nothing. Ruled out: single bad servers (time-outs 1 to 10 at each, evenly), the kill and discovery (later), CPU (0.2 s in the worst second of 0.85). At fault: _gather let in one server for each request of a window; rooms and their growth were divided by all instances. Now a server is in the pool for every six requests of a window, and rooms are shared by those who draw from it.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -15,6 +15,7 @@
 from dykeshift.interface import ServerList, ServerState, SetTimer, Settings, Watch
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
+MET = 6  # requests in an overload window for each server of the pool: met more seldom, it is not known
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
 ADVICE_SHARE = 0.05  # of the aim: how long a refused client is to stay away while all are let in
@@ -177,27 +178,34 @@
                 if server.entry.id not in listed:
                     server.entry = replace(server.entry, state=ServerState.GONE)
         rooms = [s.room for s in self.ready]  # one that comes later is trusted like those already there
-        room = sum(rooms) / len(rooms) if rooms else ROOM / self.settings.balancers
+        new = []
         for entry in update.entries:
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
-                self.servers[entry.id] = Server(entry, room, self.random(), self.random(), self.arrived,
-                                                [Lane() for _ in self.settings.classes])
+                new.append(Server(entry, 0.0, self.random(), self.random(), self.arrived,
+                                  [Lane() for _ in self.settings.classes]))
+                self.servers[entry.id] = new[-1]
             else:
                 known.entry = entry
         self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
         self.mean_weight = sum(s.entry.weight for s in self.ready) / max(1, len(self.ready)) or 1.0
         self._gather(now)
+        for server in new:
+            server.room = sum(rooms) / len(rooms) if rooms else ROOM / self._sharers()
         return self._done()
 
+    def _sharers(self) -> float:
+        """How many instances draw from a server, where all see about as many requests as this one."""
+        return max(1.0, self.settings.balancers * len(self.pool) / max(1, len(self.ready)))
+
     def _gather(self, now: int) -> None:
-        """The pool: no more servers than this instance has requests for in an overload window.
+        """The pool: no more servers than this instance has requests enough for to know each.
 
         Met more seldom, what was learned of a server is no longer true, and connections cost too much.
         """
         self.ready.sort(key=lambda s: s.rank)
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
-        self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met))]
+        self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met / MET))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
         self.whole = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
 
@@ -291,7 +299,7 @@
         klass = self.settings.classes[request.klass]
         item = self.open[request.id] = Open(request, klass, now, beyond=self._beyond(now, request))
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
-        if self.arrived == len(self.pool) and self.sweeps < 2:
+        if self.sweeps < 2 and 2 * self.arrived >= MET * len(self.pool) and len(self.pool) < len(self.ready):
             self._gather(now)  # many requests: a start with few servers would refuse some of them
         self.yielded *= 1 - SMOOTH
         # A jam of the whole pool: rooms of single servers learn too slowly where each is met seldom.
@@ -522,7 +530,7 @@
             self.admit = min(1.0, self.admit + ADMIT_UP)
             if server.in_flight > server.room - 1 and share <= self.easy and not self._says_busy(server):
                 # A room below one is a share of the time and grows in proportion, as it is cut, at any size.
-                grow = GROW / self.settings.balancers
+                grow = GROW / self._sharers()
                 server.room += min(max(REGROW, grow) * server.room, grow / server.room)
         elif not stall and end.outcome is not Outcome.NOT_SENT:
             # Errors count like lateness: quick ones would else make the server look free.
