Let a room grow only on answers that hardly waited and where it is used

The sum of all rooms, 4 a server at first, had grown to 15. Harmless alone, harmful when all do it: an attempt now and then, answered quickly, grew the room of each of the 7 to 12 who draw from a server (full means one attempt there). And quick was 0.35 of the aim, which is six in line for photos. At fault: the growth in _judge. A room grows beyond the first trust only if on average half of it is used, and on answers within three times the least latency of the class; after a slower one a room below one rests for its share of the time.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -15,7 +15,7 @@
 from dykeshift.interface import ServerList, ServerState, SetTimer, Settings, Watch
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
-MET = 6  # requests in an overload window for each server of the pool: met more seldom, it is not known
+MET = 10  # requests in an overload window for each server of the pool: met more seldom, it is not known
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
 ADVICE_SHARE = 0.05  # of the aim: how long a refused client is to stay away while all are let in
@@ -24,8 +24,10 @@
 ADMIT_UP, ADMIT_DOWN = 0.1, 0.05  # for a quick answer, for a slow one: up while a third are quick
 LEAST_ADMIT = 0.1  # enough to notice that answers are quick again
 REGROW = 0.1  # of a room below one, at the least, for each quick answer: two or three undo a cut
+USED = 0.5  # of its room: a server that holds less of ours on average has not shown that it carries more
 CALM = 0.45  # of the aim: a server whose answers lately took longer is not idle, whoever keeps it busy
-EASY = 0.35  # of the aim: only answers within this make a room grow
+EASY = 3.0  # times the least latency: only answers within this make a room grow, others waited in line
+FALL, RISE = 0.3, 0.005  # of the way down to a quicker answer, of itself at a slower one: least latency
 PATIENCE = 1.3  # times the usual latency: an attempt out for longer gets a delayed copy (paper, VIII)
 FIRST_GUESS = 0.25  # of the aim: usual latency until answers tell; twice it still leaves time to hold
 NEED = 2.0  # times the usual latency: with less than this left before the aim a request is not begun
@@ -74,6 +76,7 @@
     credited: int  # requests that its credit has grown with
     lanes: list[Lane]
     in_flight: int = 0
+    used: float = 0.0  # running mean of in_flight, as draws find it
     cut_at: int = 0
     rest_until: int = 0
     pace: float = 0.0  # running mean of its answers' latency, as a share of the aim
@@ -131,6 +134,7 @@
         self.arrivals = 0.0  # requests in an overload window, running mean
         self.open: dict[str, Open] = {}
         self.usual = [c.aim * FIRST_GUESS for c in settings.classes]  # running mean of good answers' latency
+        self.least = list(self.usual)  # latency of the quickest answers: hardly a wait, on a quick server
         self.easy = EASY
         self.admit = 1.0  # part of the requests let in: falls while most answers of the whole pool are slow
         self.crowd = 0.0  # rises while requests find no server with room; classes worth less than this wait
@@ -219,6 +223,7 @@
         for i in range(len(pool)):
             j = i + int(self.random() * (len(pool) - i))
             pool[i], pool[j] = pool[j], pool[i]
+            pool[i].used += SMOOTH * (pool[i].in_flight - pool[i].used)
             if self._allowed(now, item, pool[i]):
                 (hung if self._hangs(now, item, pool[i]) else
                  aside if self._suspect(now, item, pool[i]) else picked).append(pool[i])
@@ -502,6 +507,8 @@
             n = item.request.klass
             server.ratio += PACE_SMOOTH * (min(end.latency / max(1, self.usual[n]), 4.0) - server.ratio)
             self.usual[n] += SMOOTH * (end.latency - self.usual[n])
+            quicker = end.latency < self.least[n]
+            self.least[n] += FALL * (end.latency - self.least[n]) if quicker else RISE * self.least[n]
             hint = item.request.cost_hint
             self.hints[n] += (SMOOTH if self.hints[n] else 1.0) * (hint - self.hints[n])
             self.yielded += SMOOTH
@@ -528,10 +535,15 @@
             self.admit = max(LEAST_ADMIT, self.admit - ADMIT_DOWN)
         if end.outcome is Outcome.OK and quick:
             self.admit = min(1.0, self.admit + ADMIT_UP)
-            if server.in_flight > server.room - 1 and share <= self.easy and not self._says_busy(server):
+            waited = end.latency > self.easy * self.least[item.request.klass]
+            shown = server.used > USED * server.room or server.room < ROOM / self._sharers()
+            full = server.in_flight > server.room - 1 and shown
+            if full and not waited and not self._says_busy(server):
                 # A room below one is a share of the time and grows in proportion, as it is cut, at any size.
                 grow = GROW / self._sharers()
                 server.room += min(max(REGROW, grow) * server.room, grow / server.room)
+            elif waited and server.room < 1:
+                server.rest_until = max(server.rest_until, now + int(end.latency * (1 / server.room - 1)))
         elif not stall and end.outcome is not Outcome.NOT_SENT:
             # Errors count like lateness: quick ones would else make the server look free.
             usual = self.usual[item.request.klass]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -114,6 +114,16 @@
     world.settle()
 
 
+def keep_busy(world: World, rounds: int = 30, klass: int = 2) -> None:
+    """Three requests at once, answered quickly: rooms that are used grow."""
+    for _ in range(rounds):
+        for _ in range(3):
+            world.submit(klass)
+        world.advance(20 * MS)
+        for rid, n in world.out():
+            world.end(rid, n, Outcome.OK)
+
+
 def trusted(balancers: int) -> float:
     world = fleet(3, balancers=balancers)
     for _ in range(60):
@@ -238,7 +248,7 @@
     world = fleet(3, balancers=16)
     start = world.balancer.servers[0].room
     assert start * 16 < 6
-    warm_up(world, 200, klass=2)
+    keep_busy(world)
     world.announce(ListKind.DELTA, entry(9))
     rooms = [world.balancer.servers[n].room for n in range(3)]
     assert start < sum(rooms) / 3 == world.balancer.servers[9].room
@@ -249,6 +259,10 @@
     """Incidents i3bc64d, i616169: rooms grew through an overload until every server choked."""
     for started, grows in ((0, False), (1, True)):
         world = fleet(2)
+        for _ in range(20):  # the least latency is 50 ms
+            rid = world.submit(2)
+            world.advance(50 * MS)
+            world.end_all(rid)
         world.announce(ListKind.DELTA, entry(2, started=started and world.now))
         world.balancer.crowd = 1.0
         world.advance(400 * MS)  # the sweep sees the crowd
@@ -257,7 +271,7 @@
         for _ in range(4):
             for _ in range(6):
                 world.submit(2)
-            world.advance(120 * MS)  # .3 of the aim: quick enough without a crowd
+            world.advance(120 * MS)  # 2.4 times it: quick enough without a crowd
             for rid, n in world.out():
                 world.end(rid, n, Outcome.OK)
         assert (world.balancer.servers[0].room > before) is grows
@@ -306,9 +320,11 @@
     server = world.balancer.servers[0]
     before = server.room
     for _ in range(120):
-        rid = world.submit(2)
-        world.advance(40 * MS)
-        world.end_all(rid)
+        world.submit(2)
+        world.advance(20 * MS)
+        for rid, n in world.out():
+            if world.now - world.requests[rid].sent[n] >= 40 * MS:
+                world.end(rid, n, Outcome.OK)
     assert server.room > 10 * before
     world.settle()
 
@@ -330,6 +346,39 @@
     assert met[1] < met[0] / 2
 
 
+def test_a_room_grows_only_where_it_is_used() -> None:
+    """herd+vast: one quick attempt now and then from each of 40 let all their rooms grow to 15 a server."""
+    for at_once, grows in ((1, False), (3, True)):
+        world = fleet(2, balancers=4)
+        before = world.balancer.servers[0].room
+        for _ in range(60):
+            for _ in range(at_once):
+                world.submit(2)
+            world.advance(20 * MS)
+            for rid, n in world.out():
+                world.end(rid, n, Outcome.OK)
+            world.advance(80 * MS)
+        assert (world.balancer.servers[0].room > before) is grows, at_once
+        world.settle()
+
+
+def test_answers_that_waited_in_line_let_no_room_grow_and_a_small_one_rests_after_them() -> None:
+    """herd+vast: answers within 0.35 of the aim had six before them; rooms grew on them until all jammed."""
+    rested = []
+    for latency in (20, 120):  # both within 0.35 of the aim
+        world = fleet(1, balancers=8)
+        warm_up(world, klass=2)
+        server = world.balancer.servers[0]
+        server.room = before = 0.4
+        rid = world.submit(2)
+        world.advance(latency * MS)
+        world.end_all(rid)
+        rested.append(server.rest_until > world.now)
+        assert (server.room > before) is (latency == 20)
+        world.settle()
+    assert rested == [False, True]
+
+
 def test_each_server_of_the_pool_is_met_often_enough_to_be_known() -> None:
     """herd+vast: each of 40 instances met each of 60 servers once in a window, and all of them jammed."""
     world = fleet(60, balancers=40)
@@ -446,7 +495,7 @@
     """Recording inc7570: photos hung at five of eight servers, and verdicts found no room there."""
     world = fleet(1)
     for klass in (0, 3):
-        warm_up(world, 60, klass)
+        keep_busy(world, klass=klass)
     for _ in range(12):
         world.advance(6 * S)  # the longest rest of a class is over
         tried, verdict = world.submit(0), world.submit(3)
