Spread the pools of all instances evenly over the servers

Ruled out: the draw within a pool, which is uniform. At fault: Server.rank, and a restart drew it anew, leaving connections behind. Now each instance's pool begins at its own place on the sorted list, a golden stride from one to the next: any few of them lie evenly too, as when most are killed. Servers that refuse connections go to the end as before.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -15,6 +15,7 @@
 from dykeshift.interface import ServerList, ServerState, SetTimer, Settings, Watch
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
+STRIDE = 0.618034  # of all servers, from one instance's pool to the next one's: any few of them lie evenly
 MET = 10  # requests in an overload window for each server of the pool: met more seldom, it is not known
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
@@ -71,7 +72,6 @@
 
     entry: ServerEntry
     room: float  # how many of our attempts it has shown it carries at once
-    rank: float  # the servers that rank lowest are the pool
     credit: float  # attempts that it may be sent while cold
     credited: int  # requests that its credit has grown with
     lanes: list[Lane]
@@ -87,6 +87,7 @@
     report: LoadReport | None = None
     reported: int = 0
     left: list[int] = field(default_factory=list)  # until when its abandoned attempts count as running
+    shunned: int = 0  # failed connects: of the pool are those with the fewest
     ends: dict[str, int] = field(default_factory=dict)  # of its attempts, by class, until the next report
 
 
@@ -186,7 +187,7 @@
         for entry in update.entries:
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
-                new.append(Server(entry, 0.0, self.random(), self.random(), self.arrived,
+                new.append(Server(entry, 0.0, self.random(), self.arrived,
                                   [Lane() for _ in self.settings.classes]))
                 self.servers[entry.id] = new[-1]
             else:
@@ -207,7 +208,10 @@
 
         Met more seldom, what was learned of a server is no longer true, and connections cost too much.
         """
-        self.ready.sort(key=lambda s: s.rank)
+        self.ready.sort(key=lambda s: s.entry.id)
+        start = int(self.settings.me * STRIDE % 1 * len(self.ready))
+        self.ready = self.ready[start:] + self.ready[:start]
+        self.ready.sort(key=lambda s: s.shunned)
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
         self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met / MET))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
@@ -554,7 +558,7 @@
             if end.outcome is Outcome.FULL:
                 rest = max(rest, usual)  # its refusals come at once and would keep it the freest of all
             if end.outcome is Outcome.CONNECT_FAILED:
-                server.rank += 1  # dead, or its connections are all taken by others: left to them
+                server.shunned += 1  # dead, or its connections are all taken by others: left to them
             # Less than one at a time: many balancers with one attempt each do not jam a server.
             server.rest_until = max(server.rest_until, now + int(rest))
 
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -73,6 +73,7 @@
             classes=classes,
             balancers=max(1, int(need(raw, "balancers", ""))),
             zone=int(raw.get("az", 0)),
+            me=int(raw.get("me", 0)),
             ask_discovery=need(raw, "discovery", "") == "ask",
             ask_every=int(rules.get("askEveryNs", 10_000_000_000)),
             attempt_limit=max(1, int(need(limits, "maxAttempts", "bounds."))),
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -346,6 +346,17 @@
     assert met[1] < met[0] / 2
 
 
+def test_the_pools_of_all_instances_cover_the_servers_evenly() -> None:
+    """herd+vast: pools drawn at random left some servers with twice as many sharers as others."""
+    for alive in (range(40), range(0, 40, 2), range(14, 26)):
+        sharers = dict.fromkeys(range(60), 0)
+        for me in alive:
+            for server in fleet(60, seed=me, balancers=40, me=me).balancer.pool:
+                sharers[server.entry.id] += 1
+        mean = sum(sharers.values()) / 60
+        assert all(abs(n - mean) <= 2 for n in sharers.values()), sorted(sharers.values())
+
+
 def test_a_room_grows_only_where_it_is_used() -> None:
     """herd+vast: one quick attempt now and then from each of 40 let all their rooms grow to 15 a server."""
     for at_once, grows in ((1, False), (3, True)):
