Let a server that refused connections rest ever longer and then come back to the pool

At rooms of 0.6 a failed connect rested its server 0.7 times the usual latency, at one or more not at all. At fault: the rest in _judge. And each failed connect put the server behind all others for ever, as nothing took that back: a network cut without restarts left it out of any pool smaller than the fleet. Now each such connect in a row doubles the rest, with jitter, another server takes its place until then, and an answer ends it.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -46,6 +46,7 @@
 BUSY = 0.8  # utilization reported: hardly ever without a queue
 PACE_SMOOTH = 0.2  # the same for one server's pace: it follows the last few answers
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
+REFUSALS = 10  # connects refused in a row that still double the rest
 LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
 TRY_SLACK = 0.05  # of the time for a first try: a retry's may differ by this without telling anything
@@ -87,7 +88,7 @@
     report: LoadReport | None = None
     reported: int = 0
     left: list[int] = field(default_factory=list)  # until when its abandoned attempts count as running
-    shunned: int = 0  # failed connects: of the pool are those with the fewest
+    refused: int = 0  # connects that failed in a row
     ends: dict[str, int] = field(default_factory=dict)  # of its attempts, by class, until the next report
 
 
@@ -211,7 +212,7 @@
         self.ready.sort(key=lambda s: s.entry.id)
         start = int(self.settings.me * STRIDE % 1 * len(self.ready))
         self.ready = self.ready[start:] + self.ready[:start]
-        self.ready.sort(key=lambda s: s.shunned)
+        self.ready.sort(key=lambda s: s.refused > 0 and now < s.rest_until)
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
         self.pool = self.ready[:max(POOL_LEAST * DRAW, int(met / MET))]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
@@ -505,7 +506,7 @@
         if end.report is not None:
             server.report, server.reported = end.report, now
         if end.outcome in ANSWERS:
-            server.quiet_since, server.answered = now, True
+            server.quiet_since, server.answered, server.refused = now, True, 0
         if end.outcome is Outcome.OK:
             server.heard, server.credit = True, server.credit + SAFETY  # it does more than it must by now
             n = item.request.klass
@@ -558,9 +559,13 @@
             if end.outcome is Outcome.FULL:
                 rest = max(rest, usual)  # its refusals come at once and would keep it the freest of all
             if end.outcome is Outcome.CONNECT_FAILED:
-                server.shunned += 1  # dead, or its connections are all taken by others: left to them
+                # Dead, or its connections are all taken by others: left to them, for twice as long each time.
+                rest = min(usual * 2 ** server.refused, item.klass.aim * 2 ** LONGEST) * (0.5 + self.random())
+                server.refused = min(server.refused + 1, REFUSALS)
             # Less than one at a time: many balancers with one attempt each do not jam a server.
             server.rest_until = max(server.rest_until, now + int(rest))
+            if server.refused:
+                self._gather(now)  # another takes its place at once
 
     # ---- cold budget ----
 
