Spread the repeats of failed watches over the fleet, so that discovery's queue empties

Counted over the fleet: at the start 40 calls at once, 15 answered, 25 refused after 2.0 s in discovery's queue. Their repeats came in step 0.15 to 0.3 s later and waited 2 s again, so that nobody was answered from 2 s to the end: 150 waited in vain, 158 met a full queue. At fault: on_list's pause after a failed watch, the same few tenths of a second for 2 balancers as for 40. It now grows with the balancers, doubles each time up to the time without asking, and half of it is random. Change lists and failed watches are in the log.

--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -187,6 +187,8 @@
         except (ValueError, RecursionError) as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
+        if whole or listed:
+            log.info("%s %d: %d servers", "list" if whole else "change", generation, len(listed))
         sound = self.apply(ListKind.FULL if whole else ListKind.DELTA, listed)
         # What the module failed over it may hold in part: the whole list is asked for next.
         self.generation = generation if sound else None
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -48,7 +48,7 @@
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
 REFUSALS = 10  # connects refused in a row that still double the rest
 LONGEST = 4  # doublings of the aim: the longest such rest
-WATCH_SHARE = 0.03  # of the longest time without asking: the first pause before a failed watch is repeated
+WATCH_SHARE = 0.005  # of the longest time without asking, for each balancer: pause after a failed watch
 TRY_SLACK = 0.05  # of the time for a first try: a retry's may differ by this without telling anything
 SHARE_WINDOW = 3.0  # seconds: what a tenant leaves of its share is kept so long for it
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
@@ -171,9 +171,12 @@
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
         if update.kind is ListKind.FAILED:
-            if self.settings.ask_discovery:  # well before it counts as told; spread, as all may fail together
+            if self.settings.ask_discovery:
+                # Well before it counts as told. All may have failed together, as one queue serves them all:
+                # sooner or closer to one another, their repeats would keep it full and all fail again.
+                share = WATCH_SHARE * self.settings.balancers * 2 ** self.watch_failures
+                pause = self.settings.ask_every * min(share, 1.0)
                 self.watch_failures = min(self.watch_failures + 1, 4)
-                pause = self.settings.ask_every * WATCH_SHARE * 2 ** (self.watch_failures - 1)
                 self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
             return self._done()
         if update.kind is not ListKind.CACHED:
@@ -639,7 +642,8 @@
     def _report(self) -> None:
         """The state by which requests are let in, held and placed, for those who run this."""
         self.acts.append(Log(f"requests {self.arrived} admit {self.admit:.2f} crowd {self.crowd:.2f} "
-                             f"open {len(self.open)} gave up {_told(self.gave_up)}"))
+                             f"open {len(self.open)} failed watches {self.watch_failures} "
+                             f"gave up {_told(self.gave_up)}"))
         for s in sorted(self.ready, key=lambda s: s.entry.id):
             self.acts.append(Log(f"server {s.entry.id:x} zone {s.entry.zone} room {s.room:.2f} "
                                  f"out {s.in_flight} pace {s.pace:.2f} ends {_told(s.ends)}"))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -611,3 +611,21 @@
     world.balancer.crowd = 0.0
     assert world.requests[ask(late, True)].final == ""  # none is kept from it then
     world.settle()
+
+
+def test_watches_that_failed_together_come_back_spread_over_time() -> None:
+    """herd+vast: 25 of 40 came back in step within 0.3 s, kept its queue full and all failed again."""
+    for balancers, most in ((2, 2), (40, 24)):
+        again: list[int] = []
+        for me in range(balancers):
+            world = World(make_settings(ask_discovery=True, balancers=balancers, me=me), seed=me)
+            start = world.now
+            for _ in range(2):
+                world.announce(ListKind.FAILED)
+                at = min(t for t, token in world.timers if token == "watch")
+                world.advance(at - world.now)
+                assert at - start <= 2 * world.settings.ask_every
+            again.append(at)
+        burst = max(sum(t <= other < t + S for other in again) for t in again)
+        assert burst <= most, "in step again"
+    assert max(again) - min(again) > S
