Copy only where the others have hardly anything at a server, judged by our own

At fault: the test for copies in _place goes by our own count, which with seven sharers is none at nearly all servers. What the others have there is now judged by what this instance has out at a server of its pool on average, times the other sharers; with one or more, a server is not idle enough for a copy.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -16,6 +16,7 @@
 
 POOL_LEAST = 2  # times DRAW: the smallest part of a large fleet that one instance draws from
 STRIDE = 0.618034  # of all servers, from one instance's pool to the next one's: any few of them lie evenly
+LONELY = 1.0  # attempts of others at a server: with more it is not idle, though none of ours is there
 MET = 10  # requests in an overload window for each server of the pool: met more seldom, it is not known
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
@@ -207,6 +208,10 @@
         """How many instances draw from a server, where all see about as many requests as this one."""
         return max(1.0, self.settings.balancers * len(self.pool) / max(1, len(self.ready)))
 
+    def _others(self) -> float:
+        """Attempts of the other instances at a server, if they have as many there as this one on average."""
+        return sum(s.used for s in self.pool) / max(1, len(self.pool)) * (self._sharers() - 1)
+
     def _gather(self, now: int) -> None:
         """The pool: no more servers than this instance has requests enough for to know each.
 
@@ -370,7 +375,7 @@
         copies = 1  # unless idle servers are plenty: a copy would take one from the next request
         safe = item.klass.idempotency is Idempotency.SAFE and self.settings.copies_allowed
         empty = [s for s in idle if not s.in_flight]
-        if safe and len(empty) * 2 > DRAW:
+        if safe and len(empty) * 2 > DRAW and self._others() < LONELY:
             idle, copies = empty, max(1, self.settings.attempt_limit - 1 - len(item.attempts))
         if self._tight(now, item):
             # Idle enough is who is done in time behind what it has of ours: a quick one rather than a slow.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -38,6 +38,19 @@
     world.settle()
 
 
+def test_no_copies_where_the_others_are_at_work_though_none_of_ours_is_there() -> None:
+    """Fleet days: seven sharers each took a server for idle that held two attempts of the others."""
+    world = fleet(60, balancers=40)
+    warm_up(world, 200)
+    for used, copies in ((0.0, 2), (0.4, 1)):
+        for server in world.balancer.pool:
+            server.used = used
+        rid = world.submit(0)
+        assert len(world.requests[rid].servers) == copies
+        world.end_all(rid)
+    world.settle()
+
+
 @pytest.mark.parametrize("klass", [1, 2, 3, 4])
 def test_other_requests_go_once(klass: int) -> None:
     world = fleet()
