Withdraw what waits for a connection when its request is over, cancelling or not

Seen: in the new test a client leaves while its attempt still connects; where the settings forbid cancelling, the request is sent on when the connection comes up.

Excluded: the module's timers and retries (it closes the request at once; with cancelling allowed the three tests of the same crossing pass); the pool, which looks at Attempt.over before the first byte.

At fault: Driver._close left it to the module's Cancel actions, which Balancer._cancel_others gives only where the settings allow cancelling. An attempt that was never written is no attempt yet.

Before: the three cases without cancelling fail (sent to the stub). After: all six pass.

--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -250,9 +250,16 @@
         job.reply(reply)
 
     def _close(self, job: Job) -> None:
+        """Nothing is sent for it from here on: what waits for a connection is withdrawn.
+
+        Not the module's to say: to withdraw what was never written is no cancel, and always allowed.
+        """
         job.closed = True
         if job.guard is not None:
             job.guard.cancel()
+        for attempt in job.attempts:
+            if attempt is not None and attempt.connection is None:
+                attempt.give_up(Outcome.NOT_SENT)
 
     def _forget(self, job: Job) -> None:
         if job.closed and not job.out:
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -15,6 +15,7 @@
 from dykeshift.node.__main__ import serve
 from dykeshift.node.reload import Reload
 from dykeshift.node.server import Front
+from dykeshift.node.upstream import Pool
 
 PATIENCE = 30.0  # seconds: only a test that has failed waits for so long
 
@@ -209,6 +210,31 @@
     return head.encode() + b"\r\n" + (body if method == "POST" else b"")
 
 
+class Gate:
+    """The loop as a pool sees it, with connects that wait until the gate is opened."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.loop = pool.loop
+        self.waiting = 0
+        self.opened = asyncio.Event()
+        pool.loop = self  # type: ignore[assignment]
+
+    async def create_connection(self, *args: Any) -> Any:
+        self.waiting += 1
+        await self.opened.wait()
+        return await self.loop.create_connection(*args)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+
+def allowing(**bounds: Any) -> dict[str, Any]:
+    """Settings that allow something else."""
+    changed = settings()
+    changed["bounds"].update(bounds)
+    return changed
+
+
 @asynccontextmanager
 async def node(*upstreams: Stub, **changes: Any) -> AsyncIterator[Node]:
     """The whole balancer in this process, knowing these upstreams by the names s0, s1, ..."""
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -13,9 +13,11 @@
 from dykeshift.node import driver, server
 from dykeshift.node.discovery import number_of
 from tests.node.stubs import (
+    Gate,
     Handler,
     Message,
     Stub,
+    allowing,
     answer,
     instance,
     listing,
@@ -247,6 +249,28 @@
     run(main())
 
 
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("klass", ["check", "set", "send"])
+def test_a_client_that_goes_during_the_connect_is_not_sent_on(klass: str, cancelling: bool) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub, settings=allowing(cancelling=cancelling)) as balancer:
+            served = balancer.front.driver
+            gate = Gate(served.pool)
+            caller = await balancer.open()
+            caller.writer.write(request(klass))
+            await until(lambda: gate.waiting == 1)
+            caller.writer.close()
+            await until(lambda: not balancer.front.clients)
+            gate.opened.set()
+            await until(lambda: not served.pool.connecting)
+            assert not stub.seen
+            await until(lambda: not served.jobs)
+            assert all(s.in_flight == 0 for s in served.balancer.servers.values())
+
+    run(main())
+
+
 def test_losers_are_cancelled_by_closing_and_still_reach_the_module() -> None:
     async def main() -> None:
         async def slow_second(stub: Stub, _: Message, writer: asyncio.StreamWriter) -> None:
