End attempts that may not be cancelled at the client's deadline

Seen: in the new test a client leaves, its attempt may not be cancelled, and the server never answers. The attempt, its connection, its job and its place in the server's room stayed for ever.

Excluded: the module, which waits for the end of the attempt as it must; with cancelling allowed the attempt ends at once (test_a_client_that_goes_takes_its_attempt_along).

At fault: Driver._close cancelled the guard, the one timer that ends attempts, with the answer. It now stays until the job is forgotten, and what is still out then has timed out.

Before: the test waits in vain for all three effects. After: it passes.

--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -137,7 +137,10 @@
         self.ready.discard(number)
 
     def _expire(self, job: Job) -> None:
-        """The client's time is over: what is out has timed out, and the client is told, whatever follows."""
+        """The client's time is over: what is out has timed out, and the client is told, whatever follows.
+
+        After the answer too: what may not be cancelled would be waited for as long as a server hangs.
+        """
         for attempt in job.attempts:
             if attempt is not None:
                 attempt.give_up(Outcome.TIMEOUT)
@@ -255,8 +258,6 @@
         Not the module's to say: to withdraw what was never written is no cancel, and always allowed.
         """
         job.closed = True
-        if job.guard is not None:
-            job.guard.cancel()
         for attempt in job.attempts:
             if attempt is not None and attempt.connection is None:
                 attempt.give_up(Outcome.NOT_SENT)
@@ -264,3 +265,5 @@
     def _forget(self, job: Job) -> None:
         if job.closed and not job.out:
             self.jobs.pop(job.incoming.id, None)
+            if job.guard is not None:
+                job.guard.cancel()
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -271,6 +271,26 @@
     run(main())
 
 
+@pytest.mark.parametrize("klass", ["check", "set", "send"])
+def test_what_may_not_be_cancelled_still_ends_at_the_deadline(klass: str) -> None:
+    """The client has gone; an attempt that is out runs on, but no longer than it was to be waited for."""
+
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub, settings=allowing(cancelling=False)) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request(klass, deadline=300))
+            await until(lambda: len(stub.seen) == 1)
+            caller.writer.close()
+            await until(lambda: not balancer.front.clients)
+            assert stub.lost == 0
+            await until(lambda: stub.lost == 1 and not balancer.front.driver.jobs)
+            assert balancer.front.driver.balancer.open == {}
+            assert all(s.in_flight == 0 for s in balancer.front.driver.balancer.servers.values())
+
+    run(main())
+
+
 def test_losers_are_cancelled_by_closing_and_still_reach_the_module() -> None:
     async def main() -> None:
         async def slow_second(stub: Stub, _: Message, writer: asyncio.StreamWriter) -> None:
