Answer what is open at SIGTERM before SIGKILL, however patient its client is

Seen: in the new test a request with a deadline of 5 s is open at SIGTERM, and nobody has answered it when the program is due to be killed.

Excluded: requests that come after SIGTERM; Driver.submit cuts their deadlines (test of passes).

At fault: wind_down only set Driver.until, which jobs that were open already never read. stop_by moves their deadlines, guards and attempts as well.

Before: three tests, one a kind of class, find the job open. After: answered 0.1 s before SIGKILL.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -71,7 +71,7 @@
     loop = asyncio.get_running_loop()
     front.stopping, began = True, loop.time()
     killed = min(longest, KILL_MOST) + KILL - MARGIN
-    front.driver.until = time.monotonic_ns() + int(killed * 1e9)
+    front.driver.stop_by(time.monotonic_ns() + int(killed * 1e9))
     jobs = front.driver.jobs
     log.info("stopping: %d clients are connected, %d requests open", len(front.clients), len(jobs))
     while loop.time() < began + LINGER or (front.clients and loop.time() < began + killed - LAST):
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -94,13 +94,29 @@
         if self.until is not None:
             deadline = min(deadline, self.until)
         job = self.jobs[incoming.id] = Job(incoming, deadline, reply)
-        left = deadline - time.monotonic_ns()
-        # Rounded up: a timer that fires early would let the module begin once more in the last instant.
-        job.guard = self.loop.call_later(max(0, left) / 1e9 + 0.001, self._expire, job)
+        self._set_guard(job)
         request = Request(id=incoming.id, klass=incoming.klass, deadline=deadline,
                           cost_hint=incoming.cost_hint, retry=incoming.retry, tenant=incoming.tenant)
         self._tell(self.balancer.on_request, request, job=job)
 
+    def stop_by(self, until: int) -> None:
+        """The program ends then: what is open is answered by then too, be its client more patient."""
+        self.until = until
+        for job in self.jobs.values():
+            if job.deadline > until:
+                job.deadline = until
+                for attempt in job.attempts:
+                    if attempt is not None:
+                        attempt.until = min(attempt.until, until)
+                self._set_guard(job)
+
+    def _set_guard(self, job: Job) -> None:
+        if job.guard is not None:
+            job.guard.cancel()
+        left = max(0, job.deadline - time.monotonic_ns())
+        # Rounded up: a timer that fires early would let the module begin once more in the last instant.
+        job.guard = self.loop.call_later(left / 1e9 + 0.001, self._expire, job)
+
     def client_gone(self, request_id: str) -> None:
         job = self.jobs.get(request_id)
         if job is not None and not job.closed:
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -164,6 +164,7 @@
 @dataclass
 class Node:
     front: Front
+    server: asyncio.Server
     registry: Registry
     address: tuple[str, int]
     given: config.Config
@@ -244,7 +245,7 @@
     ready: asyncio.Future[Node] = asyncio.get_running_loop().create_future()
 
     def started(front: Front, server: asyncio.Server, reload: Reload) -> None:
-        ready.set_result(Node(front, registry, server.sockets[0].getsockname(), given, reload))
+        ready.set_result(Node(front, server, registry, server.sockets[0].getsockname(), given, reload))
 
     task = asyncio.create_task(serve(given, lambda: ready.result().given, started))
     try:
--- /dev/null
+++ b/tests/node/test_wind_down.py
@@ -0,0 +1,38 @@
+"""What is still owed when the program ends after SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dykeshift.node import __main__ as program
+from tests.node.stubs import Node, Stub, node, read_message, request, run, silent, until
+
+
+@pytest.fixture(autouse=True)
+def _no_time_passes_unused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The listener is closed at once; SIGKILL is due 0.4 s after SIGTERM."""
+    for name, value in {"LINGER": 0.0, "KILL_MOST": 0.2, "KILL": 0.2, "MARGIN": 0.1, "LAST": 1.0}.items():
+        monkeypatch.setattr(program, name, value)
+
+
+async def wind_down(balancer: Node) -> None:
+    await program.wind_down(balancer.front, balancer.server, 5.0)
+
+
+@pytest.mark.parametrize("klass", ["check", "set", "send"])
+def test_a_request_whose_client_waits_beyond_the_end_is_answered_before_it(klass: str) -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request(klass, deadline=5000))
+            await until(lambda: len(stub.seen) == 1)
+            async with asyncio.timeout(3):
+                await wind_down(balancer)
+            assert not balancer.front.driver.jobs and not balancer.front.clients
+            assert int((await read_message(caller.reader)).start.split()[1]) >= 500
+            caller.writer.close()
+
+    run(main())
