Accept who waits in the listener's queue before it is closed

Seen: in the new test a client connects and sends its request in the same turn of the loop in which wind_down closes the listener: the connection is reset with no answer.

At fault: server.close() in wind_down, which closes the socket over its queue. It now waits for the loop while the socket has something to accept, until the time is over at the latest.

Before: ConnectionResetError. After: 200, with Connection: close.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -17,6 +17,7 @@
 from dykeshift.node import config, requests
 from dykeshift.node.discovery import Discovery, Reader
 from dykeshift.node.driver import Driver
+from dykeshift.node.http1 import has_input
 from dykeshift.node.reload import Reload
 from dykeshift.node.server import Front
 from dykeshift.node.upstream import Pool
@@ -77,6 +78,8 @@
     while loop.time() < began + LINGER or (front.clients and loop.time() < began + killed - LAST):
         await asyncio.sleep(TICK)
     front.closing = True
+    while any(has_input(listener) for listener in server.sockets) and loop.time() < began + killed:
+        await asyncio.sleep(0)  # closed now, it would reset those who wait to be accepted
     server.close()
     until = loop.time() + longest  # what is unfinished then is no request: half sent, or an answer unread
     while loop.time() < until and any(not client.between() for client in front.clients):
--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -55,7 +55,7 @@
         """
         if self.transport is None or self.transport.is_closing() or self.stray:
             return False
-        return not has_input(self.transport)
+        return not has_input(self.transport.get_extra_info("socket"))
 
     def send(self, data: bytes, exchange: Exchange) -> None:
         assert self.transport is not None and self.exchange is None
--- a/dykeshift/node/http1.py
+++ b/dykeshift/node/http1.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import select
+from typing import Protocol
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
@@ -11,10 +11,14 @@
 FRAMING = 4  # a chunked body may take this many times its size on the wire, no more
 
 
-def has_input(transport: asyncio.BaseTransport) -> bool:
-    """Whether bytes or a close have arrived that the event loop has not come to yet."""
+class HasDescriptor(Protocol):
+    def fileno(self) -> int: ...
+
+
+def has_input(socket: HasDescriptor) -> bool:
+    """Whether bytes, a close or, at a listener, a connection have come that the event loop has not yet."""
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    poll.register(socket.fileno(), select.POLLIN | select.POLLRDHUP)
     return bool(poll.poll(0))
 
 
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -114,7 +114,7 @@
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def has_input(self) -> bool:
-        return self.transport is not None and has_input(self.transport)
+        return self.transport is not None and has_input(self.transport.get_extra_info("socket"))
 
     def expire(self, now: float) -> None:
         """Let go of who is slow, silent or done.
--- a/tests/node/test_wind_down.py
+++ b/tests/node/test_wind_down.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from dykeshift.node import __main__ as program
-from tests.node.stubs import Node, Stub, node, read_message, request, run, silent, until
+from tests.node.stubs import Node, Stub, answer, node, read_message, request, run, says, silent, until
 
 
 @pytest.fixture(autouse=True)
@@ -21,6 +22,24 @@
     await program.wind_down(balancer.front, balancer.server, 5.0)
 
 
+async def received(peer: socket.socket) -> bytes:
+    peer.setblocking(False)
+    return await asyncio.get_running_loop().sock_recv(peer, 65_536)
+
+
+def test_who_waits_to_be_accepted_as_the_listener_closes_is_answered() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            with socket.create_connection(balancer.address) as peer:  # the loop has had no turn since
+                peer.sendall(request())
+                await wind_down(balancer)
+                got = await received(peer)
+                assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got
+
+    run(main())
+
+
 @pytest.mark.parametrize("klass", ["check", "set", "send"])
 def test_a_request_whose_client_waits_beyond_the_end_is_answered_before_it(klass: str) -> None:
     async def main() -> None:
