End after SIGTERM only when no client is left whose request may lie unread

Seen: in the new test a kept client sends in the turn in which wind_down takes its last look. It returned with the request unread, and the program's end would have reset it.

Excluded: close_idle, which looks for unread input and rightly left that client alone.

At fault: the condition of wind_down's last loop, which asks Client.between() only: a request not read yet is no request there. It now goes on until close_idle has let go of every client, those that never asked among them, and ends with SIGKILL's time instead of a whole deadline after it.

Before: the test finds the client connected at the end. After: answered, and nobody is left.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -81,8 +81,8 @@
     while any(has_input(listener) for listener in server.sockets) and loop.time() < began + killed:
         await asyncio.sleep(0)  # closed now, it would reset those who wait to be accepted
     server.close()
-    until = loop.time() + longest  # what is unfinished then is no request: half sent, or an answer unread
-    while loop.time() < until and any(not client.between() for client in front.clients):
+    # What is unfinished when it may be killed is no request: half sent, or an answer unread.
+    while front.clients and loop.time() < began + killed + MARGIN:
         front.close_idle()
         await asyncio.sleep(TICK)
     log.info("stopped: %d clients are left, %d requests open", len(front.clients), len(jobs))
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -79,9 +79,9 @@
         return self.served > self.limit * CROWD
 
     def close_idle(self) -> None:
-        """Close kept connections on which no request has arrived, be it unread."""
+        """Close connections on which no request has arrived, be it unread."""
         for client in list(self.clients):
-            if client.between() and client.answers and not client.has_input():
+            if client.between() and not client.has_input():
                 client.abort()
 
 
--- a/tests/node/test_wind_down.py
+++ b/tests/node/test_wind_down.py
@@ -40,6 +40,22 @@
     run(main())
 
 
+def test_a_request_that_is_unread_at_the_end_is_answered() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            with socket.create_connection(balancer.address) as peer:
+                for rid in ("r1", "r2"):
+                    peer.setblocking(True)
+                    peer.sendall(request(rid=rid))  # r2: as the last look at all clients comes
+                    if rid == "r2":
+                        await wind_down(balancer)
+                        assert not balancer.front.clients
+                    assert (await received(peer)).startswith(b"HTTP/1.1 200")
+
+    run(main())
+
+
 @pytest.mark.parametrize("klass", ["check", "set", "send"])
 def test_a_request_whose_client_waits_beyond_the_end_is_answered_before_it(klass: str) -> None:
     async def main() -> None:
@@ -55,3 +71,15 @@
             caller.writer.close()
 
     run(main())
+
+
+def test_who_is_connected_and_silent_does_not_hold_up_the_end() -> None:
+    async def main() -> None:
+        async with node() as balancer:
+            caller = await balancer.open()
+            await until(lambda: len(balancer.front.clients) == 1)
+            await wind_down(balancer)
+            assert await caller.reader.read() == b"" and not balancer.front.clients
+            caller.writer.close()
+
+    run(main())
