Let a connection rest 20 ms after an answer, against second answers that come late

The pool hands out the connection used last, so on a busy server it is used again within that time; the second answer is then passed on as the next request's.

Excluded: second answers in the same piece, or before the next request is written: Connection.stray and has_input see those (tests). An id in the answers: they carry Content-Length alone.

At fault: Pool._warm, which used a connection again at once. Those that have rested come first now, else a new one is opened. What comes meanwhile closes the connection, with one line in the log.

Before: the test's second request gets the first one's second answer.

--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -11,6 +12,8 @@
 
 from dykeshift.node.http1 import MAX_BODY, Gatherer, Unacceptable, has_input
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -85,6 +88,9 @@
         if self.parser is None:
             return
         sound = self.exchange is not None
+        if not sound and self.used:
+            log.warning("%.1f ms after its answer a server sent what nobody had asked for",
+                        (self.loop.time() - self.idle_since) * 1e3)
         try:
             self.parser.feed_data(data)
             if self.answer is None:
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -15,6 +15,7 @@
 
 FRESH = 0.8  # of the keepalive: a connection idle for longer is closed, well before the upstream does it
 SWEEP = 0.5  # seconds between two looks for such connections
+REST = 0.02  # seconds from an answer until its connection is used again; second answers came within 0.004
 RISK, DOUBT = 0.15, 10  # part of the reuses, and of so many more, that may break at some idle time
 FADE = 0.9  # what is left of those counts after each look
 
@@ -157,6 +158,7 @@
         self.limit = limit
         self.connect_timeout = connect_timeout
         self.keepalive = keepalive * FRESH
+        self.rest = REST
         self.upstreams: dict[int, Upstream] = {}
         self.staleness = Staleness()
         self.open = 0
@@ -203,9 +205,16 @@
         return attempt
 
     def _warm(self, upstream: Upstream) -> Connection | None:
-        while upstream.idle:
-            connection = upstream.idle.pop()
+        """The connection used last of those that have rested.
+
+        Protects against a server that answers twice: what comes behind a request is taken for its
+        answer, so the second one has to come before there is a next request on its connection.
+        """
+        for connection in upstream.idle[::-1]:
             idle = self.loop.time() - connection.idle_since
+            if connection.used and idle < self.rest:
+                continue
+            upstream.idle.remove(connection)
             if idle < self.keepalive and self.staleness.fresh(idle) and connection.alive():
                 return connection
             connection.close()
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -10,7 +10,7 @@
 import pytest
 
 from dykeshift.interface import LoadReport, Outcome
-from dykeshift.node.upstream import Attempt, End, Pool, Staleness
+from dykeshift.node.upstream import REST, Attempt, End, Pool, Staleness
 from tests.node.stubs import Handler, Stub, answer, resets, run, says, silent, until
 
 SECOND = 1_000_000_000
@@ -34,6 +34,7 @@
 def make_pool(address: tuple[str, int], limit: int = 10, connect_timeout: float = 5.0,
               keepalive: float = 60.0) -> Pool:
     pool = Pool(asyncio.get_running_loop(), limit, connect_timeout, keepalive)
+    pool.rest = 0.0  # used again at once: how long they rest has a test of its own
     pool.put(1, address, 0, True)
     return pool
 
@@ -220,6 +221,30 @@
     run(main())
 
 
+def test_a_second_answer_that_comes_late_is_not_taken_for_the_next() -> None:
+    """The next request goes out before it comes, and nothing in an answer tells whose it is."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer(b"one"))).start()
+        pool = make_pool(stub.address)
+        pool.rest = REST
+        await Shot(pool).end()
+        stub.handler = silent
+        shot = Shot(pool)
+        await until(lambda: len(stub.seen) == 2)
+        stub.writers[0].write(answer(b"one again"))
+        await until(lambda: stub.lost == 1)  # taken for no answer: the connection is closed
+        stub.writers[-1].write(answer(b"two"))
+        end = await shot.end()
+        assert end.answer is not None and end.answer.body == b"two"
+        await asyncio.sleep(REST)
+        stub.handler = says(answer(b"three"))
+        assert (await Shot(pool).end()).outcome is Outcome.OK
+        assert len(stub.writers) == 2  # rested, and used again
+
+    run(main())
+
+
 def test_a_closed_connection_is_noticed_before_the_loop_hears_of_it() -> None:
     """The close has arrived, yet no event of the loop has told: the request must not go there."""
 
