After a client's last answer read on for a while, so that no reset takes it along

Seen: in the new test bytes arrive behind a last request and lie unread as its connection is closed: the client gets a reset, which can reach it before it has read the answer.

Excluded: requests that are cut short (those half-closed already, cut_short); connections that are kept.

All are half-closed now and read until the client closes, or for LINGER. As these hold a descriptor for longer, Front.admit lets go of them first (second test). The line at the end counts those not answered.

Before: ConnectionResetError in both cases. After: the answer, then the end. Two tests that looked for clients at the end now look for clients still owed something, or wait for the count.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -85,7 +85,8 @@
     while front.clients and loop.time() < began + killed + MARGIN:
         front.close_idle()
         await asyncio.sleep(TICK)
-    log.info("stopped: %d clients are left, %d requests open", len(front.clients), len(jobs))
+    log.info("stopped: %d clients are left, %d requests open",
+             sum(not client.lingers() for client in front.clients), len(jobs))
 
 
 def main() -> int:
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -21,7 +21,7 @@
 IDLE = 30.0  # seconds that a connection is kept after an answer
 ONCE = 2.0  # the same where one request was all that came, and for all in a crowd
 CROWD = 0.5  # of the limit on connections: so many that have been answered are one
-LINGER = 0.5  # seconds in which a rejected client may go on sending, so that it sees its answer
+LINGER = 0.5  # seconds in which a client may go on sending after its last answer, so that it sees it
 _REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
             413: b"Content Too Large", 501: b"Not Implemented", 431: b"Request Header Fields Too Large",
             500: b"Internal Server Error", 503: b"Service Unavailable", 504: b"Gateway Timeout"}
@@ -60,13 +60,13 @@
         """Count a new connection in; over the limit, another makes room.
 
         Protects the limit on descriptors, and the usual clients from those that connect and say
-        nothing: these go first, the oldest of them, then who asked once and stayed, then who has been
-        idle longest.
+        nothing: after those that have had their last answer these go first, the oldest of them, then who
+        asked once and stayed, then who has been idle longest.
         """
         self.clients.add(client)
         if len(self.clients) > self.limit:
-            idle = [c for c in self.clients if c.between() and c is not client]
-            idle.sort(key=lambda c: (min(c.answers, 2), c.since))
+            idle = [c for c in self.clients if (c.between() or c.lingers()) and c is not client]
+            idle.sort(key=lambda c: (not c.lingers(), min(c.answers, 2), c.since))
             next((c for c in idle if not c.has_input()), client).abort()
 
     def sweep(self) -> None:
@@ -87,7 +87,7 @@
 
 class Client(Gatherer, asyncio.Protocol):
     __slots__ = ("front", "transport", "parser", "target", "busy", "born", "since", "keep", "closing",
-                 "cut_short", "request_id", "began", "whole", "piped", "answers")
+                 "request_id", "began", "whole", "piped", "answers")
 
     def __init__(self, front: Front) -> None:
         super().__init__()
@@ -100,7 +100,6 @@
         self.piped = False  # more than one request at a time has come
         self.keep = True
         self.closing = False  # what comes from it is dropped
-        self.cut_short = False  # answered before its request had come whole
         self.request_id = ""  # of the request that the driver has
         self.began = 0  # when the first byte of the request came
         self.born = self.since = front.loop.time()  # since: when it last did something
@@ -110,6 +109,10 @@
         """Idle: no byte of a request has come that is not answered, and no answer waits to be read."""
         return not self.busy and not self.began and not self.closing and not self.unread_answer()
 
+    def lingers(self) -> bool:
+        """Has had its last answer, and may close."""
+        return self.closing and not self.unread_answer()
+
     def unread_answer(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
@@ -253,13 +256,10 @@
         self.since, self.answers = self.front.loop.time(), self.answers + 1
         self.transport.write(render(reply, keep))
         if not keep:
+            # Closed outright, what the client still sends would be met by a reset, which can take the
+            # answer with it: read on until it closes, or for LINGER at the most.
             self.closing = True
-            if self.cut_short:
-                # Closed outright, what the client still sends would be met by a reset, which can
-                # take the answer with it: read on until it closes, or for LINGER at the most.
-                self.transport.write_eof()
-            else:
-                self.transport.close()
+            self.transport.write_eof()
 
     def _reject(self, status: int, text: str) -> None:
         """Answer what is no single sound request, and close.
@@ -268,7 +268,7 @@
         bytes behind it: nobody can tell what such a client takes for the answer to what. One that is
         with the driver already is given up, and may have run.
         """
-        self.keep, self.whole, self.cut_short = False, False, True
+        self.keep, self.whole = False, False
         if self.busy:
             self.front.driver.client_gone(self.request_id)
         self.busy = True
