--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -9,8 +9,9 @@
 import socket
 import subprocess
 import sys
+import tomllib
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -98,12 +99,7 @@
                                                    env={**os.environ, "NODE_CONFIG": str(path)},
                                                    stderr=stderr)
     try:
-        while True:
-            try:
-                await call(port)
-                break
-            except OSError:
-                await asyncio.sleep(0.01)
+        await listening(port)
         yield process, port
     finally:
         if process.returncode is None:
@@ -111,6 +107,14 @@
             await process.wait()
 
 
+async def listening(port: int) -> None:
+    while True:
+        with suppress(OSError):
+            (await call(port)).writer.close()
+            return
+        await asyncio.sleep(0.01)
+
+
 async def call(port: int) -> Caller:
     return Caller(*await asyncio.open_connection("127.0.0.1", port))
 
@@ -232,6 +236,37 @@
     run(main())
 
 
+def test_a_sighup_while_the_program_loads_does_not_end_it(tmp_path: Path) -> None:
+    """As the deploy file starts it; the signal comes as soon as the interpreter runs."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        registry = await Registry().start()
+        port, path = free_port(), tmp_path / "config.json"
+        known = listing(1, True, instance("s0", stub.address))
+        path.write_text(json.dumps({**configuration(registry.address, known),
+                                    "listen": f"127.0.0.1:{port}"}))
+        command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable), cwd=ROOT,
+            env={**os.environ, "NODE_CONFIG": str(path)})
+        try:
+            await until(lambda: b"dykeshift.node\0" in Path(f"/proc/{process.pid}/cmdline").read_bytes())
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: bool(registry.paths) or process.returncode is not None)
+            assert process.returncode is None
+            await listening(port)
+            caller = await call(port)
+            assert "200" in (await caller.ask(request("check"))).start
+            caller.writer.close()
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    run(main())
+
+
 def test_sighup_with_a_bad_file_is_one_line_and_changes_nothing(tmp_path: Path) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
