Ask an agent that fell silent at short intervals, and log when a watch is lost and found

What the agent gets at its return counts as told at once, and sends must stop 0.35 s later; a call lost on the silent agent hides it for 2.1 s.

Excluded: that held calls are always answered at the return.

At fault: Discovery._ask, which holds and waits for every call alike. After a failure, where lists are pushed, a call is not held and waited for 0.2 s; so is the first one, which never is held.

Before: the test sees held calls. The log had no word of failed watches where lists are pushed; it tells both ends now.

--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -25,6 +25,7 @@
 CONNECT = 1.0  # seconds
 MAX_LIST = 4 * 1024 * 1024
 PUSH_RETRY = 0.1  # seconds: an agent on this machine is asked again at no cost
+PUSH_GRACE = 0.2  # seconds for a call of which an agent need not wait: it answers at once, or is silent
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 Apply = Callable[[ListKind, list[Listed]], bool]
@@ -100,6 +101,7 @@
         self.apply = apply
         self.failed = failed
         self.generation: int | None = None  # None: no list yet, so the whole one is asked for
+        self.lost = False  # the last call failed: the next one is not held
         self.task: asyncio.Task[None] | None = None
 
     def take_known(self, known: Any) -> None:
@@ -138,10 +140,15 @@
                     self._hang_up(connection)
                     connection = await self._connect()
                 answer = await self._ask(connection)
-                if answer is None or not self._accept(answer):
-                    break
-        except (OSError, TimeoutError):
-            pass
+                if answer is None:
+                    raise ConnectionResetError("no whole answer")
+                if not self._accept(answer):
+                    raise ConnectionError(f"status {answer.status}, or unsound")
+                self._found()
+        except (OSError, TimeoutError) as exc:
+            if not self.lost:
+                log.warning("the watch is lost: %s", str(exc) or "silent")
+            self.lost = True
         finally:  # its own connection alone: after a move another watch has one of its own
             self._hang_up(connection)
         self.task = None
@@ -150,11 +157,17 @@
             self.loop.call_later(PUSH_RETRY, self.watch)
 
     async def _ask(self, connection: Connection) -> Answer | None:
-        path = "/v1/endpoints"
-        hold = 0
+        """One call, held at discovery where it has a list to go on from.
+
+        Where lists are pushed, an agent that was lost is asked for what it has until it answers: what
+        it hears once it is back counts as told at once, and a held call may be lost on it.
+        """
+        path, hold, grace = "/v1/endpoints", 0, GRACE
         if self.generation is not None:
-            hold = HOLD_MS
+            hold = 0 if self.pushed and self.lost else HOLD_MS
             path += f"?from={self.generation}&hold_ms={hold}"
+        if self.pushed and not hold:
+            grace = PUSH_GRACE
         future: asyncio.Future[Answer | None] = self.loop.create_future()
 
         def done(answer: Answer | None) -> None:
@@ -163,9 +176,14 @@
 
         request = f"GET {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n"
         connection.send(request.encode(), Call(done))
-        async with asyncio.timeout(hold / 1000 + GRACE):
+        async with asyncio.timeout(hold / 1000 + grace):
             return await future
 
+    def _found(self) -> None:
+        if self.lost:
+            log.info("the watch is back")
+        self.lost = False
+
     async def _connect(self) -> Connection:
         async with asyncio.timeout(CONNECT):
             _, connection = await self.loop.create_connection(
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -9,7 +9,7 @@
 import pytest
 
 from dykeshift.interface import Action, ListKind, ServerList, ServerState
-from dykeshift.node.discovery import GRACE, Reader, number_of
+from dykeshift.node.discovery import GRACE, HOLD_MS, PUSH_GRACE, PUSH_RETRY, Reader, number_of
 from tests.node.stubs import (
     Node,
     Registry,
@@ -166,6 +166,31 @@
     run(main())
 
 
+def test_an_agent_that_fell_silent_is_asked_at_short_intervals_until_it_answers() -> None:
+    """What it hears when it is back counts as told at once: no held call may be waited for by then."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer(b"old"))).start()
+        other = await Stub(says(answer(b"new"))).start()
+        async with node(stub, settings=settings(discovery="push")) as balancer:
+            paths = balancer.registry.paths
+            balancer.registry.put(listing(1, True, instance("s0", stub.address)))
+            await until(lambda: len(paths) == 2)  # held, and silent from here on
+            await until(lambda: len(paths) == 6)
+            assert PUSH_GRACE + PUSH_RETRY < 0.35  # seconds: after a drain is told, sends may go on so long
+            assert all(path.endswith("&hold_ms=0") for path in paths[2:])
+            # Back. Its first answer goes out on a call that nobody waits for any more.
+            for _ in range(2 * len(paths)):
+                balancer.registry.put(listing(2, False, instance("s0", stub.address, "leaving"),
+                                              instance("s1", other.address)))
+            await until(lambda: len(balancer.front.driver.ready) == 1 and number_of("s1") in
+                        balancer.front.driver.ready)
+            assert (await balancer.ask(request())).body == b"new"
+            await until(lambda: paths[-1].endswith(f"&hold_ms={HOLD_MS}"))
+
+    run(main())
+
+
 def test_pushed_lists_are_watched_without_being_asked_to() -> None:
     async def main() -> None:
         async with node(settings=settings(discovery="push")) as balancer:
