Ask for the whole list at the start, whatever list is known from before

Seen: in the new test the known list has generation 900 and discovery is at 7, as after a move to another one: the first call waits for something newer than 900, and the drain that came before hides for ever.

Excluded: a move by SIGHUP, which asks for the whole list (its test); unsound known lists (theirs).

At fault: Discovery.take_known took the generation over. The known list still serves until discovery answers. As the first call now fails at once where nobody listens, the address is bound before it: an address in use stays one line (its test failed in between).

Tests that began at generation 1 now see the whole list asked for first; node() asserts it for each of them. The SIGHUP test of the start took the shell's command line for the program's; it compares all of it.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -47,14 +47,15 @@
     reload = Reload(load, discovery, driver)
     loop.add_signal_handler(signal.SIGHUP, reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
+    try:
+        server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG, start_serving=False)
+    except OSError as exc:
+        raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     driver.start()
     discovery.take_known(given.known)
     if not given.settings.ask_discovery:
         discovery.watch()
-    try:
-        server = await loop.create_server(front.connect, *given.listen, backlog=BACKLOG)
-    except OSError as exc:
-        raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
+    await server.start_serving()
     gc.collect()
     gc.freeze()  # what lives as long as the program is not walked again by each collection
     if started is not None:
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -105,11 +105,15 @@
         self.task: asyncio.Task[None] | None = None
 
     def take_known(self, known: Any) -> None:
-        """The list from before the start: it may be old, and it may be unsound or missing."""
+        """The list from before the start: it may be old, and it may be unsound or missing.
+
+        It serves until discovery answers, and the whole list is asked for all the same: its generation
+        may be another discovery's, and changes from there on would hide what changed before.
+        """
         if known is None:
             return
         try:
-            self.generation, _, listed = self.reader.read(known)
+            _, _, listed = self.reader.read(known)
         except ValueError as exc:
             log.warning("the known list is dropped: %s", exc)
             return
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -237,10 +237,16 @@
 
 
 @asynccontextmanager
-async def node(*upstreams: Stub, **changes: Any) -> AsyncIterator[Node]:
-    """The whole balancer in this process, knowing these upstreams by the names s0, s1, ..."""
+async def node(*upstreams: Stub, told: bool = True, **changes: Any) -> AsyncIterator[Node]:
+    """The whole balancer in this process, knowing these upstreams by the names s0, s1, ...
+
+    `told`: discovery has answered its first call with the same, and the watch goes on from there.
+    """
     registry = await Registry().start()
     known = listing(1, True, *(instance(f"s{n}", u.address) for n, u in enumerate(upstreams)))
+    told = told and bool(upstreams)
+    if told:
+        registry.put(known)
     given = config.parse({**configuration(registry.address, known), **changes})
     ready: asyncio.Future[Node] = asyncio.get_running_loop().create_future()
 
@@ -249,7 +255,11 @@
 
     task = asyncio.create_task(serve(given, lambda: ready.result().given, started))
     try:
-        yield await ready
+        balancer = await ready
+        if told:
+            await until(lambda: len(registry.paths) == 2)
+            assert registry.paths.pop(0) == "/v1/endpoints"  # whole, whatever is known
+        yield balancer
     finally:
         task.cancel()
         with suppress(asyncio.CancelledError):
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -151,6 +151,24 @@
     run(main())
 
 
+def test_the_list_known_at_the_start_hides_no_change() -> None:
+    """It may be another discovery's, with a generation of its own: nothing newer would ever come."""
+
+    async def main() -> None:
+        old, new = await Stub(says(answer(b"old"))).start(), await Stub(says(answer(b"new"))).start()
+        known = listing(900, True, instance("s0", old.address))
+        async with node(told=False, known=known) as balancer:
+            assert (await balancer.ask(request(rid="r0"))).body == b"old"  # while discovery says nothing
+            await until(lambda: balancer.registry.paths == ["/v1/endpoints"])
+            balancer.registry.put(listing(7, True, instance("s0", old.address, "leaving"),
+                                          instance("s1", new.address)))
+            await until(lambda: len(balancer.registry.paths) == 2)
+            assert balancer.registry.paths[1].startswith("/v1/endpoints?from=7&")
+            assert (await balancer.ask(request(rid="r1"))).body == b"new"
+
+    run(main())
+
+
 def test_a_watch_that_falls_silent_is_begun_anew_before_the_list_is_old() -> None:
     """A watch was waited for through 22 s, while servers went that the list still showed."""
 
@@ -174,11 +192,9 @@
         other = await Stub(says(answer(b"new"))).start()
         async with node(stub, settings=settings(discovery="push")) as balancer:
             paths = balancer.registry.paths
-            balancer.registry.put(listing(1, True, instance("s0", stub.address)))
-            await until(lambda: len(paths) == 2)  # held, and silent from here on
-            await until(lambda: len(paths) == 6)
+            await until(lambda: len(paths) == 5)
             assert PUSH_GRACE + PUSH_RETRY < 0.35  # seconds: after a drain is told, sends may go on so long
-            assert all(path.endswith("&hold_ms=0") for path in paths[2:])
+            assert all(path.endswith("&hold_ms=0") for path in paths[1:])
             # Back. Its first answer goes out on a call that nobody waits for any more.
             for _ in range(2 * len(paths)):
                 balancer.registry.put(listing(2, False, instance("s0", stub.address, "leaving"),
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -251,7 +251,8 @@
             "/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable), cwd=ROOT,
             env={**os.environ, "NODE_CONFIG": str(path)})
         try:
-            await until(lambda: b"dykeshift.node\0" in Path(f"/proc/{process.pid}/cmdline").read_bytes())
+            runs = "\0".join([sys.executable, "-m", "dykeshift.node", ""]).encode()  # no longer the shell
+            await until(lambda: Path(f"/proc/{process.pid}/cmdline").read_bytes() == runs)
             process.send_signal(signal.SIGHUP)
             await until(lambda: bool(registry.paths) or process.returncode is not None)
             assert process.returncode is None
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -686,7 +686,7 @@
 def test_ready_with_a_known_list_though_discovery_says_nothing() -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
-        async with node(stub) as balancer:
+        async with node(stub, told=False) as balancer:
             assert status(await balancer.ask(b"GET /ready HTTP/1.1\r\nHost: b\r\n\r\n")) == 200
 
     run(main())
