Know requests by names of their own, so that an id may come again while its first one winds up

Seen: in the new test a client goes, its attempt may not be cancelled, and the same id comes on a new connection, as clients send again what crossed a close: 409 until the attempt's end or deadline.

Excluded: an id whose request is open, which stays 409 (test); the module, which never saw the second one.

At fault: Client._take and Driver.jobs, which took the client's id for the request's identity. Ends and timers of the first request would have met the second's had the check alone been dropped. An unsafe request is still kept out while the first one's attempt may run: it never has two out.

Before: 409 for safe and keyed requests. After: served, and the first one's end changes nothing.

--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -62,6 +62,7 @@
 class Job:
     """A request until it is answered and all its attempts have come back."""
 
+    name: str  # what the module knows it by: the client's id may come again while this one winds up
     incoming: Incoming
     deadline: int
     reply: Callable[[Reply], None]
@@ -80,6 +81,7 @@
         self.pool = pool
         self.watch = watch
         self.jobs: dict[str, Job] = {}
+        self.named = 0  # requests since the start
         self.until: int | None = None  # when all must be answered: the program is being stopped
         self.ready: set[int] = set()  # upstreams that the list held shows as running
 
@@ -88,14 +90,28 @@
     def start(self) -> None:
         self._tell(self.balancer.on_start)
 
-    def submit(self, incoming: Incoming, arrived: int, reply: Callable[[Reply], None]) -> None:
+    def in_use(self, incoming: Incoming) -> bool:
+        """Whether a request of this id may not be taken: it is open, or may still run and must not run twice.
+
+        One that is answered, or whose client has gone, stays until its attempts have come back: others
+        may come with its id again by then, as after a connection that broke.
+        """
+        return any(job.incoming.id == incoming.id and (not job.closed or incoming.unsafe)
+                   for job in self.jobs.values())
+
+    def name(self, incoming: Incoming) -> str:
+        """A name of its own for the request, which its id is not: see `in_use`."""
+        self.named += 1
+        return f"{incoming.id}/{self.named}"
+
+    def submit(self, name: str, incoming: Incoming, arrived: int, reply: Callable[[Reply], None]) -> None:
         """Take a request; `reply` is called exactly once, unless the client goes first."""
         deadline = arrived + max(0, incoming.patience - RETURN)
         if self.until is not None:
             deadline = min(deadline, self.until)
-        job = self.jobs[incoming.id] = Job(incoming, deadline, reply)
+        job = self.jobs[name] = Job(name, incoming, deadline, reply)
         self._set_guard(job)
-        request = Request(id=incoming.id, klass=incoming.klass, deadline=deadline,
+        request = Request(id=name, klass=incoming.klass, deadline=deadline,
                           cost_hint=incoming.cost_hint, retry=incoming.retry, tenant=incoming.tenant)
         self._tell(self.balancer.on_request, request, job=job)
 
@@ -117,11 +133,11 @@
         # Rounded up: a timer that fires early would let the module begin once more in the last instant.
         job.guard = self.loop.call_later(left / 1e9 + 0.001, self._expire, job)
 
-    def client_gone(self, request_id: str) -> None:
-        job = self.jobs.get(request_id)
+    def client_gone(self, name: str) -> None:
+        job = self.jobs.get(name)
         if job is not None and not job.closed:
             self._close(job)
-            self._tell(self.balancer.on_client_gone, request_id, job=job)
+            self._tell(self.balancer.on_client_gone, name, job=job)
             self._forget(job)
 
     def apply(self, kind: ListKind, listed: list[Listed]) -> bool:
@@ -172,7 +188,7 @@
         if end.outcome is Outcome.OK and end.answer is not None and not job.closed:
             kind = end.answer.headers.get(b"content-type", b"application/octet-stream")
             self._finish(job, Reply(200, end.answer.body, kind))
-        told = AttemptEnd(job.incoming.id, number, server, end.outcome,
+        told = AttemptEnd(job.name, number, server, end.outcome,
                           time.monotonic_ns() - job.sent[number], job.closed, end.report)
         self._tell(self.balancer.on_attempt_end, told, job=job)
         self._forget(job)
@@ -258,7 +274,7 @@
         if job.closed:
             return
         self._finish(job, reply)
-        self._tell(self.balancer.on_client_gone, job.incoming.id, job=job)
+        self._tell(self.balancer.on_client_gone, job.name, job=job)
         for attempt in job.attempts:
             if attempt is not None:
                 attempt.give_up(Outcome.CANCELLED)
@@ -280,6 +296,6 @@
 
     def _forget(self, job: Job) -> None:
         if job.closed and not job.out:
-            self.jobs.pop(job.incoming.id, None)
+            self.jobs.pop(job.name, None)
             if job.guard is not None:
                 job.guard.cancel()
--- a/dykeshift/node/requests.py
+++ b/dykeshift/node/requests.py
@@ -22,6 +22,7 @@
 class Incoming:
     id: str
     klass: int
+    unsafe: bool  # must not run twice
     patience: int  # nanoseconds that the client waits, from its sending
     retry: bool
     tenant: int
@@ -84,6 +85,7 @@
         return Incoming(
             id=rid.decode(),
             klass=number,
+            unsafe=klass.idempotency is Idempotency.UNSAFE,
             patience=min(patience, klass.deadline),
             retry=headers.get(b"x-retry") == b"1",
             tenant=self.tenants.get(headers.get(b"x-tenant", b""), len(self.tenants)),  # unknown: no share
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -100,7 +100,7 @@
         self.piped = False  # more than one request at a time has come
         self.keep = True
         self.closing = False  # what comes from it is dropped
-        self.request_id = ""  # of the request that the driver has
+        self.request_id = ""  # the driver's name of the request that it has
         self.began = 0  # when the first byte of the request came
         self.born = self.since = front.loop.time()  # since: when it last did something
         self.answers = 0
@@ -231,15 +231,15 @@
             return
         try:
             incoming = self.front.reader.read(method, self.target, self.headers, self.body)
-            if incoming.id in self.front.driver.jobs:
+            if self.front.driver.in_use(incoming):
                 raise BadRequest(409, "x-request-id is in use")
         except BadRequest as exc:
             self.keep = False  # who asks like this goes on like this, at full speed
             self.answer(Reply(exc.status, f"{exc}\n".encode()))
             return
-        self.request_id = incoming.id
+        self.request_id = self.front.driver.name(incoming)
         try:
-            self.front.driver.submit(incoming, self.began, self.answer)
+            self.front.driver.submit(self.request_id, incoming, self.began, self.answer)
         except Exception:  # the program's own fault: an attempt may be out, so this is no refusal
             log.exception("request %s", incoming.id)
             if self.busy:
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -459,6 +459,34 @@
     run(main())
 
 
+@pytest.mark.parametrize("klass", ["check", "set", "send"])
+def test_an_id_that_comes_again_while_its_request_winds_up(klass: str) -> None:
+    """Its client has gone and what is out may not be cancelled: only what must not run twice is kept out."""
+
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub, settings=allowing(cancelling=False)) as balancer:
+            first = await balancer.open()
+            first.writer.write(request(klass))
+            await until(lambda: len(stub.seen) == 1)
+            first.writer.close()
+            await until(lambda: not balancer.front.clients)
+            second = await balancer.open()
+            second.writer.write(request(klass))
+            if klass == "send":
+                assert status(await read_message(second.reader)) == 409
+                assert len(stub.seen) == 1
+            else:
+                await until(lambda: len(stub.seen) == 2)
+                stub.writers[0].write(answer(b"first"))  # this one's end is not the other's
+                await until(lambda: len(balancer.front.driver.jobs) == 1)
+                stub.writers[1].write(answer(b"second"))
+                assert (await read_message(second.reader)).body == b"second"
+            second.writer.close()
+
+    run(main())
+
+
 # ---- bounds ----
 
 
