Leave each balancer at least one request of a tenant's share

Seen: in the new test a tenant with 20 requests a second over 200 balancers asks for half of its part, and every request counts as beyond its share, and is weighed by over_share_worth.

Excluded: the figure of the share (right with one balancer, its test); retries, which use up nothing.

At fault: Balancer._beyond, which kept no more than SHARE_WINDOW seconds of a part: 0.3 of a request here, and a request is inside only where one is left.

Before: all ten beyond. After: five inside, five beyond.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -147,7 +147,7 @@
         self.watch_failures = 0
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
         self.patience = [0] * len(settings.classes)  # of the latest first try
-        self.unused = [share / settings.balancers * SHARE_WINDOW for share in settings.shares]  # by tenant
+        self.unused = [self._most_unused(share) for share in settings.shares]  # by tenant
         self.refilled = 0  # when these last grew
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
         self.acts: list[Action] = []
@@ -341,6 +341,10 @@
             return False
         return item.klass.deadline - left > item.klass.aim
 
+    def _most_unused(self, share: float) -> float:
+        """One request at least: split among many balancers, a share would else be worth nothing."""
+        return max(1.0, share / self.settings.balancers * SHARE_WINDOW)
+
     def _beyond(self, now: int, request: Request) -> bool:
         """Whether the tenant has used up its share, of which each balancer keeps an equal part.
 
@@ -348,7 +352,8 @@
         """
         for n, share in enumerate(self.settings.shares):
             part = share / self.settings.balancers
-            self.unused[n] = min(part * SHARE_WINDOW, self.unused[n] + part * (now - self.refilled) / 1e9)
+            grown = self.unused[n] + part * (now - self.refilled) / 1e9
+            self.unused[n] = min(self._most_unused(share), grown)
         self.refilled = now
         if not self.unused:
             return False
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,7 @@
 
 from tests.harness import CLASSES, MS, S, Seen, World, entry, make_settings
 from dykeshift.interface import Cancel, ListKind, LoadReport, Outcome, Refuse, Request, Send
+from dykeshift.rules import Balancer
 
 
 def fleet(n: int = 6, seed: int = 1, **changes: object) -> World:
@@ -629,3 +630,16 @@
         burst = max(sum(t <= other < t + S for other in again) for t in again)
         assert burst <= most, "in step again"
     assert max(again) - min(again) > S
+
+
+def test_a_share_spread_thinly_over_many_balancers_still_counts() -> None:
+    """Of 20 requests a second each of 200 balancers keeps a tenth: less than one in SHARE_WINDOW was none."""
+    balancer = Balancer(make_settings(balancers=200, shares=(20.0,)), seed=1)
+    beyond = []
+    for n in range(5):
+        now = (1 + 20 * n) * S  # half of what it keeps
+        balancer.on_request(now, Request(f"r{n}", 0, now + 500 * MS, tenant=0))
+        beyond.append(balancer.open[f"r{n}"].beyond)
+        balancer.on_request(now, Request(f"more{n}", 0, now + 500 * MS, tenant=0))
+        beyond.append(balancer.open[f"more{n}"].beyond)
+    assert beyond == [False, True] * 5
