Do not send on a request whose client's end has come with it

Excluded: a client that goes later, while its request waits: told by the loop, and withdrawn.

At fault: Client._take, which begins on the bytes alone; the loop tells of the end one turn later. The socket is asked first, as it is before a connection to a server is used again.

Before: the stub sees the request.

--- a/dykeshift/node/http1.py
+++ b/dykeshift/node/http1.py
@@ -22,6 +22,13 @@
     return bool(poll.poll(0))
 
 
+def has_ended(socket: HasDescriptor) -> bool:
+    """Whether the peer sends nothing more, or is gone, be there bytes from before it or not."""
+    poll = select.poll()
+    poll.register(socket.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class Unacceptable(Exception):
     """A message out of its bounds; `status` is what a server answers to it."""
 
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -10,7 +10,7 @@
 import httptools
 
 from dykeshift.node.driver import FAILED, Driver, Reply
-from dykeshift.node.http1 import Gatherer, Unacceptable, has_input, status_of
+from dykeshift.node.http1 import Gatherer, Unacceptable, has_ended, has_input, status_of
 from dykeshift.node.requests import BadRequest, Reader
 
 log = logging.getLogger(__name__)
@@ -237,6 +237,11 @@
             self.keep = False  # who asks like this goes on like this, at full speed
             self.answer(Reply(exc.status, f"{exc}\n".encode()))
             return
+        assert self.transport is not None
+        if has_ended(self.transport.get_extra_info("socket")):  # told by the loop a turn later
+            self.busy = False
+            self.abort()
+            return
         self.request_id = self.front.driver.name(incoming)
         try:
             self.front.driver.submit(self.request_id, incoming, self.began, self.answer)
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -294,6 +294,21 @@
     run(main())
 
 
+def test_a_client_whose_end_comes_with_its_request_is_not_sent_on() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            balancer.front.driver.pool.rest = 0.0
+            assert status(await balancer.ask(request(rid="r1"))) == 200  # a connection is warm
+            with socket.create_connection(balancer.address) as peer:
+                peer.sendall(request(rid="gone"))
+            assert status(await balancer.ask(request(rid="r2"))) == 200
+            await until(lambda: not balancer.front.clients and not balancer.front.driver.jobs)
+            assert [message.headers["x-request-id"] for message in stub.seen] == ["r1", "r2"]
+
+    run(main())
+
+
 def test_losers_are_cancelled_by_closing_and_still_reach_the_module() -> None:
     async def main() -> None:
         async def slow_second(stub: Stub, _: Message, writer: asyncio.StreamWriter) -> None:
