--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -15,10 +15,13 @@
 from dykeshift.node import driver, server
 from dykeshift.node.discovery import number_of
 from dykeshift.node.requests import Incoming
+from dykeshift.node.upstream import Attempt
 from tests.node.stubs import (
+    Caller,
     Gate,
     Handler,
     Message,
+    Node,
     Stub,
     allowing,
     answer,
@@ -294,6 +297,93 @@
     run(main())
 
 
+def timers(balancer: Node) -> list[str]:
+    """The module's timers for requests, as they are told."""
+    told: list[str] = []
+    module = balancer.front.driver.balancer
+    sound = module.on_timer
+
+    def on_timer(now: int, token: str) -> list[Action]:
+        actions = sound(now, token)
+        if token.startswith("r:"):
+            told.append(token)
+        return actions
+
+    module.on_timer = on_timer  # type: ignore[method-assign]
+    return told
+
+
+async def leave(balancer: Node, caller: Caller) -> None:
+    caller.writer.close()
+    await until(lambda: not balancer.front.clients)
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("klass", ["check", "set", "send"])
+def test_a_client_that_goes_while_there_is_no_room_is_not_sent_on(klass: str, cancelling: bool) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(settings=allowing(cancelling=cancelling)) as balancer:
+            told, caller = timers(balancer), await balancer.open()
+            caller.writer.write(request(klass, rid="gone"))
+            await until(lambda: bool(balancer.front.driver.jobs))
+            await leave(balancer, caller)
+            balancer.registry.put(listing(2, True, instance("s0", stub.address)))
+            await until(lambda: bool(balancer.front.driver.ready))
+            await until(lambda: bool(told))  # it would have found room now
+            assert status(await balancer.ask(request(klass, rid="next"))) == 200
+            assert [message.headers["x-request-id"] for message in stub.seen] == ["next"]
+
+    run(main())
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_for_a_client_that_goes_no_delayed_copy_is_sent(cancelling: bool) -> None:
+    async def main() -> None:
+        stubs = [await Stub(says(answer())).start() for _ in range(2)]
+        async with node(*stubs, settings=allowing(cancelling=cancelling)) as balancer:
+            for n in range(20):  # until both have been heard from, and a copy may go to either
+                assert status(await balancer.ask(request(rid=f"w{n}"))) == 200
+            for stub in stubs:
+                stub.seen.clear()
+                stub.handler = silent
+            pool, started = balancer.front.driver.pool, list[int]()
+            start = pool.start
+
+            def count(number: int, *args: Any) -> Attempt:
+                started.append(number)
+                return start(number, *args)
+
+            pool.start = count  # type: ignore[method-assign, assignment]
+            told, caller = timers(balancer), await balancer.open()
+            caller.writer.write(request("check"))
+            await until(lambda: any(stub.seen for stub in stubs))
+            await leave(balancer, caller)
+            await until(lambda: bool(told))
+            assert len(started) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("klass", ["check", "set", "send"])
+def test_for_a_client_that_goes_no_attempt_follows_one_that_failed(klass: str, cancelling: bool) -> None:
+    async def main() -> None:
+        stubs = [await Stub(silent).start() for _ in range(2)]
+        async with node(*stubs, settings=allowing(cancelling=cancelling)) as balancer:
+            caller = await balancer.open()
+            caller.writer.write(request(klass))
+            await until(lambda: any(stub.seen for stub in stubs))
+            await leave(balancer, caller)
+            for writer in [] if cancelling else [*stubs[0].writers, *stubs[1].writers]:
+                writer.write(answer(b"", "503 Service Unavailable", X_Not_Run="1"))
+            await until(lambda: not balancer.front.driver.jobs)
+            assert sum(len(stub.seen) for stub in stubs) == 1
+            assert not balancer.front.driver.pool.connecting
+
+    run(main())
+
+
 def test_a_client_whose_end_comes_with_its_request_is_not_sent_on() -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
