--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -72,6 +72,20 @@
     run(main())
 
 
+@pytest.mark.parametrize("indent", [None, 8])
+def test_a_very_large_list_is_taken_over_however_it_is_written(indent: int | None) -> None:
+    async def main() -> None:
+        old, new = await Stub(says(answer(b"old"))).start(), await Stub(says(answer(b"new"))).start()
+        async with node(old) as balancer:
+            gone = (instance(f"g{n}", ("127.0.0.1", 9), "leaving") for n in range(5000))
+            whole = listing(2, True, *gone, instance("s1", new.address))
+            balancer.registry.replies.put_nowait(answer(json.dumps(whole, indent=indent).encode()))
+            await until(lambda: balancer.front.driver.ready == {number_of("s1")})
+            assert (await balancer.ask(request())).body == b"new"
+
+    run(main())
+
+
 def test_a_restart_at_a_new_address_is_followed() -> None:
     async def main() -> None:
         old, new = await Stub(says(answer(b"old"))).start(), await Stub(says(answer(b"new"))).start()
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -236,6 +236,28 @@
     run(main())
 
 
+def test_a_sighup_while_the_program_stops_harms_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        stub, second = await Stub(silent).start(), await Registry().start()
+        async with program(stub, tmp_path) as (process, port):
+            busy, probe = await call(port), await call(port)
+            busy.writer.write(request(rid="busy"))
+            await until(lambda: len(stub.seen) == 1)
+            process.send_signal(signal.SIGTERM)
+            await until_not_ready(probe)
+            move(tmp_path, second, process)
+            await until(lambda: second.paths == ["/v1/endpoints"])
+            (tmp_path / "config.json").write_text("{")
+            process.send_signal(signal.SIGHUP)
+            stub.writers[0].write(answer(b"at last"))
+            assert (await read_message(busy.reader)).body == b"at last"
+            for caller in (busy, probe):
+                caller.writer.close()
+            assert await process.wait() == 0
+
+    run(main())
+
+
 def test_a_sighup_while_the_program_loads_does_not_end_it(tmp_path: Path) -> None:
     """As the deploy file starts it; the signal comes as soon as the interpreter runs."""
 
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -230,6 +230,25 @@
     run(main())
 
 
+@pytest.mark.parametrize("endless", [b"x", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+def test_an_answer_that_never_ends_is_waited_for_until_the_deadline_at_most(endless: bytes) -> None:
+    async def main() -> None:
+        async def trickle(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+            if endless == b"x":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n")
+            while not writer.is_closing():
+                writer.write(endless)
+                await asyncio.sleep(0.005)
+
+        stub = await Stub(trickle).start()
+        async with node(stub) as balancer:
+            assert status(await balancer.ask(request("send", deadline=300))) >= 500
+            assert len(stub.seen) == 1 and not balancer.front.driver.jobs
+            assert balancer.front.driver.pool.upstreams[number_of("s0")].idle == []
+
+    run(main())
+
+
 def test_at_the_deadline_the_module_says_whether_it_is_a_refusal() -> None:
     async def main() -> None:
         stub = await Stub(silent).start()
