Give up a request that the program failed over, so that it does not answer the next one

Seen: in the new test the program's own code fails as a request is taken; its client is told 500, and at the first request's deadline the next request on that connection gets the first one's answer.

Excluded: faults in the module, which Driver._tell catches and ends (tests).

At fault: the except clause of Client._take, which answered but left the job with the driver, whose reply goes to whatever its connection waits for by then.

Before: b"failed: no answer in time" for the second request. After: its own answer.

--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -247,6 +247,7 @@
             self.front.driver.submit(self.request_id, incoming, self.began, self.answer)
         except Exception:  # the program's own fault: an attempt may be out, so this is no refusal
             log.exception("request %s", incoming.id)
+            self.front.driver.client_gone(self.request_id)  # else it would answer the next request
             if self.busy:
                 self.answer(FAILED)
 
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -478,6 +478,28 @@
     run(main())
 
 
+def test_a_fault_of_the_programs_own_leaves_nothing_that_answers_the_next_request() -> None:
+    async def main() -> None:
+        stub = await Stub(silent).start()
+        async with node(stub) as balancer:
+            served = balancer.front.driver
+            start = served.pool.start
+
+            def faulty(*_: object) -> Attempt:
+                served.pool.start = start  # type: ignore[method-assign]
+                raise RuntimeError("planted")
+
+            served.pool.start = faulty  # type: ignore[method-assign, assignment]
+            caller = await balancer.open()
+            assert status(await caller.ask(request("send", rid="r1", deadline=300))) == 500
+            caller.writer.write(request("send", rid="r2"))
+            await until(lambda: len(stub.seen) == 1 and len(served.jobs) == 1)  # not the first one's any more
+            stub.writers[0].write(answer(b"second"))
+            assert (await read_message(caller.reader)).body == b"second"
+
+    run(main())
+
+
 def test_what_a_faulty_module_still_asks_for_is_not_sent() -> None:
     """The fault comes after the module noted a send: its count must come down, and nothing may go out."""
 
