Ask a silent agent in parts of the settings' drain grace, not every 0.3 s

At fault: PUSH_GRACE and PUSH_RETRY, 0.3 s together whatever the settings say: the very constant that holds for one customer. They are shares of drainGraceNs now, 0.6 of it together.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -39,7 +39,7 @@
     pool = Pool(loop, given.connections, given.connect_timeout, given.keepalive)
     driver = Driver(loop, Balancer(given.settings, given.seed), pool, lambda: discovery.watch())
     discovery = Discovery(loop, given.discovery, Reader(given.zones, given.kinds), driver.apply,
-                          driver.discovery_failed, not given.settings.ask_discovery)
+                          driver.discovery_failed, not given.settings.ask_discovery, given.drain_grace)
     front = Front(loop, driver, requests.Reader(given.settings.classes, given.tenants), given.connections)
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -33,6 +33,7 @@
     tenants: tuple[str, ...]
     keepalive: float  # seconds after which an upstream closes an idle connection
     connect_timeout: float  # seconds
+    drain_grace: float  # seconds after a drain is told in which sends to that server have to stop
 
 
 def read_address(text: Any) -> Address:
@@ -66,6 +67,7 @@
 def parse(raw: Any) -> Config:
     given = need(raw, "settings", "")
     limits = need(given, "bounds", "settings.")
+    rules = need(given, "obligations", "settings.")
     seed = str(need(raw, "seed", ""))
     return Config(
         listen=read_address(need(raw, "listen", "")),
@@ -79,4 +81,5 @@
         tenants=tuple(str(need(p, "name", "settings.parties[].")) for p in given.get("parties", ())),
         keepalive=float(need(limits, "keepaliveNs", "bounds.")) / 1e9,
         connect_timeout=float(need(limits, "connectTimeoutNs", "bounds.")) / 1e9,
+        drain_grace=float(need(rules, "drainGraceNs", "obligations.")) / 1e9,
     )
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -24,8 +24,9 @@
 GRACE = 1.0  # seconds more until a watch that said nothing counts as failed
 CONNECT = 1.0  # seconds
 MAX_LIST = 4 * 1024 * 1024
-PUSH_RETRY = 0.1  # seconds: an agent on this machine is asked again at no cost
-PUSH_GRACE = 0.2  # seconds for a call of which an agent need not wait: it answers at once, or is silent
+# Of the drain grace, for an agent on this machine: it answers a call that it need not hold at once, or is
+# silent, and is asked again at no cost. Both together leave time to stop sending.
+PUSH_GRACE, PUSH_RETRY = 0.4, 0.2
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 Apply = Callable[[ListKind, list[Listed]], bool]
@@ -93,9 +94,10 @@
     """Watches while told to; whatever goes wrong is reported once and ends the watch."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: Reader, apply: Apply,
-                 failed: Callable[[], None], pushed: bool) -> None:
+                 failed: Callable[[], None], pushed: bool, drain_grace: float) -> None:
         self.loop = loop
         self.pushed = pushed
+        self.drain_grace = drain_grace
         self.address = address
         self.reader = reader
         self.apply = apply
@@ -158,7 +160,7 @@
         self.task = None
         self.failed()
         if self.pushed:  # the module does not ask where lists are pushed
-            self.loop.call_later(PUSH_RETRY, self.watch)
+            self.loop.call_later(PUSH_RETRY * self.drain_grace, self.watch)
 
     async def _ask(self, connection: Connection) -> Answer | None:
         """One call, held at discovery where it has a list to go on from.
@@ -171,7 +173,7 @@
             hold = 0 if self.pushed and self.lost else HOLD_MS
             path += f"?from={self.generation}&hold_ms={hold}"
         if self.pushed and not hold:
-            grace = PUSH_GRACE
+            grace = PUSH_GRACE * self.drain_grace
         future: asyncio.Future[Answer | None] = self.loop.create_future()
 
         def done(answer: Answer | None) -> None:
