Ask the agent before listening: a new process served by its known list past a drain

The 139 started anew had their whole list 0.18 to 0.26 s after their start, and had listened by then. At fault: __main__.serve, which listens before the agent's first answer and serves by the known list. Where lists are pushed it waits for its first call's end: an answer, a failure, or a silent agent's 0.4 graces.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -55,6 +55,9 @@
     discovery.take_known(given.known)
     if not given.settings.ask_discovery:
         discovery.watch()
+        # What the agent has counts as told since before the program was loaded: the list known from
+        # before serves only if the agent has nothing to say.
+        await discovery.asked.wait()
     await server.start_serving()
     gc.collect()
     gc.freeze()  # what lives as long as the program is not walked again by each collection
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -104,6 +104,7 @@
         self.failed = failed
         self.generation: int | None = None  # None: no list yet, so the whole one is asked for
         self.lost = False  # the last call failed: the next one is not held
+        self.asked = asyncio.Event()  # a call has come to its end, be it with nothing
         self.task: asyncio.Task[None] | None = None
 
     def take_known(self, known: Any) -> None:
@@ -157,6 +158,7 @@
             self.lost = True
         finally:  # its own connection alone: after a move another watch has one of its own
             self._hang_up(connection)
+            self.asked.set()
         self.task = None
         self.failed()
         if self.pushed:  # the module does not ask where lists are pushed
@@ -189,6 +191,7 @@
         if self.lost:
             log.info("the watch is back")
         self.lost = False
+        self.asked.set()
 
     async def _connect(self) -> Connection:
         async with asyncio.timeout(CONNECT):
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 from typing import Any
@@ -11,6 +12,7 @@
 from dykeshift.interface import Action, ListKind, ServerList, ServerState
 from dykeshift.node.discovery import GRACE, HOLD_MS, PUSH_GRACE, PUSH_RETRY, Reader, number_of
 from tests.node.stubs import (
+    Message,
     Node,
     Registry,
     Stub,
@@ -183,6 +185,46 @@
     run(main())
 
 
+def test_where_lists_are_pushed_nobody_is_served_before_the_agent_was_asked() -> None:
+    """What the agent has counts as told from a process's first moment: loading alone took a short grace."""
+
+    async def main() -> None:
+        old, new = await Stub(says(answer(b"old"))).start(), await Stub(says(answer(b"new"))).start()
+        pushed = settings(discovery="push")
+        pushed["obligations"]["drainGraceNs"] = 20_000_000_000  # the agent is waited for as long as it takes
+        registry = await Registry().start()
+        begun = asyncio.Event()
+
+        async def serve() -> Message:
+            async with node(old, told=False, settings=pushed,
+                            discovery="%s:%d" % registry.address) as balancer:
+                begun.set()
+                return await balancer.ask(request())
+
+        served = asyncio.create_task(serve())
+        await until(lambda: registry.paths == ["/v1/endpoints"])
+        assert not begun.is_set()
+        registry.put(listing(7, True, instance("s0", old.address, "leaving"), instance("s1", new.address)))
+        assert (await served).body == b"new"
+
+    run(main())
+
+
+@pytest.mark.parametrize("reply", [None, answer(b"", "503 Service Unavailable"), answer(b"{")])
+def test_an_agent_that_tells_nothing_does_not_keep_the_program_from_starting(reply: bytes | None) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        registry = await Registry().start()
+        if reply is not None:
+            registry.replies.put_nowait(reply)
+        async with node(stub, told=False, settings=settings(discovery="push"),
+                        discovery="%s:%d" % registry.address) as balancer:
+            assert registry.paths[0] == "/v1/endpoints"
+            assert (await balancer.ask(request())).body == b"done"
+
+    run(main())
+
+
 def test_a_watch_that_falls_silent_is_begun_anew_before_the_list_is_old() -> None:
     """A watch was waited for through 22 s, while servers went that the list still showed."""
 
