Do not begin a keyed repeat whose connection came up after its window

Attempt.write looked at the deadline and the drain alone. The new test forces it with a gate on connects: two servers got the request, the second after the window. Ruled out: the first attempt's delay (its window counts from the decision, before it is written); the rest of 8 ms on a connection (within the slack). Send says begin_by, the driver passes it on, and what comes up later ends as not sent.

--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -138,6 +138,7 @@
     request_id: str
     server: int
     timeout: int  # 0: until the client's deadline
+    begin_by: int = 0  # clock time from which it may not be begun any more; 0: any time
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -246,7 +246,7 @@
         if job.closed:
             until = 0  # nothing more goes out for it, yet the module gets its outcome
         ended = partial(self._ended, job, number, action.server)
-        attempt = self.pool.start(action.server, job.incoming.message, until, ended)
+        attempt = self.pool.start(action.server, job.incoming.message, until, ended, action.begin_by)
         job.attempts.append(attempt)
         job.sent.append(now)
         job.out += 1
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -61,15 +61,17 @@
 class Attempt:
     """Written at most once; ends once, never within the call that starts it or gives it up."""
 
-    __slots__ = ("pool", "upstream", "message", "until", "ended", "connection", "idle", "written", "over")
+    __slots__ = ("pool", "upstream", "message", "until", "ended", "begin_by", "connection", "idle",
+                 "written", "over")
 
     def __init__(self, pool: Pool, upstream: Upstream, message: Callable[[int], bytes], until: int,
-                 ended: Callable[[End], None]) -> None:
+                 ended: Callable[[End], None], begin_by: int) -> None:
         self.pool = pool
         self.upstream = upstream
         self.message = message  # the request, told how many nanoseconds are left
         self.until = until
         self.ended = ended
+        self.begin_by = begin_by  # not to be written from then on; 0: until its end
         self.connection: Connection | None = None
         self.idle: float | None = None  # seconds that its connection had not been used; None: a new one
         self.written = 0.0
@@ -83,8 +85,9 @@
         """
         if self.over:
             return False
-        left = self.until - time.monotonic_ns()
-        if left <= 0 or not self.upstream.open_to_new:
+        now = time.monotonic_ns()
+        left = self.until - now
+        if left <= 0 or now >= (self.begin_by or self.until) or not self.upstream.open_to_new:
             # Later, not now: whoever starts the attempt does not have it yet and could not place its end.
             self.pool.loop.call_soon(self.finish, End(Outcome.NOT_SENT))
             return False
@@ -186,9 +189,9 @@
     # ---- attempts ----
 
     def start(self, number: int, message: Callable[[int], bytes], until: int,
-              ended: Callable[[End], None]) -> Attempt:
+              ended: Callable[[End], None], begin_by: int = 0) -> Attempt:
         upstream = self.upstreams.get(number) or Upstream(("", 0), 0, False)
-        attempt = Attempt(self, upstream, message, until, ended)
+        attempt = Attempt(self, upstream, message, until, ended, begin_by)
         if not upstream.open_to_new:
             self.loop.call_soon(attempt.finish, End(Outcome.NOT_SENT))
             return attempt
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -415,6 +415,8 @@
             self._watch_over(now, item)
 
     def _send(self, now: int, item: Open, server: Server) -> None:
+        bound = item.klass.idempotency is Idempotency.KEYED and item.anchor()
+        begin_by = bound.sent + item.klass.window if bound else 0  # its connection may come up later
         item.attempts.append(Attempt(server, now))
         item.live += 1
         server.in_flight += 1
@@ -426,7 +428,7 @@
         if lane.out == 1:
             lane.quiet_since = now
         # Until the client's own deadline: called off at the aim, it would come back and be begun anew.
-        self.acts.append(Send(item.request.id, server.entry.id, 0))
+        self.acts.append(Send(item.request.id, server.entry.id, 0, begin_by))
 
     def _hold(self, now: int, item: Open) -> None:
         """Nowhere to go: look again soon, and answer before an answer stops being worth waiting for."""
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -33,6 +33,8 @@
     resets,
     run,
     says,
+    service,
+    settings,
     silent,
     until,
 )
@@ -296,6 +298,38 @@
     run(main())
 
 
+def test_a_repeat_that_connects_until_its_window_is_over_is_not_sent() -> None:
+    """Decided in time, it would come when servers have forgotten the key."""
+
+    async def main() -> None:
+        failing = asyncio.Event()
+
+        async def fail(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+            await failing.wait()
+            writer.write(answer(status="500 Internal Server Error"))
+
+        stubs = [await Stub(fail).start() for _ in range(2)]
+        window = 0.2
+        keyed = settings(services=[service("set", "token", windowNs=int(window * 1e9))])
+        async with node(*stubs, settings=keyed) as balancer:
+            gate = Gate(balancer.front.driver.pool)
+            gate.opened.set()
+            caller = await balancer.open()
+            caller.writer.write(request("set"))
+            await until(lambda: any(stub.seen for stub in stubs))
+            sent = time.monotonic()
+            gate.opened.clear()
+            failing.set()
+            await until(lambda: gate.waiting == 2)
+            await until(lambda: time.monotonic() > sent + window)
+            gate.opened.set()
+            assert status(await read_message(caller.reader)) == 500
+            assert sum(len(stub.seen) for stub in stubs) == 1
+            caller.writer.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("klass", ["check", "set", "send"])
 def test_what_may_not_be_cancelled_still_ends_at_the_deadline(klass: str) -> None:
     """The client has gone; an attempt that is out runs on, but no longer than it was to be waited for."""
