Begin a silent watch anew within 2 s where lists are asked for, whatever the fleet's size

The list's kind now tells broken or silent (BROKEN) from refused (FAILED), and only the first is repeated soon, once: after that discovery itself is in trouble, and the pauses grow as before.

--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -33,7 +33,8 @@
     FULL = auto()  # the whole list; whoever is not on it is gone
     CACHED = auto()  # the whole list as last seen before a restart, possibly stale
     DELTA = auto()  # changed entries only
-    FAILED = auto()  # a call to discovery failed; the list held stays valid
+    FAILED = auto()  # a call to discovery was refused or answered wrongly; the list held stays valid
+    BROKEN = auto()  # a call fell silent or broke off; the list held stays valid
 
 
 class Outcome(Enum):
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -77,6 +77,10 @@
         return Listed(entry, ("", 0) if gone else read_address(row["hostPort"]))
 
 
+class Refused(ConnectionError):
+    """A call was answered, with no list."""
+
+
 class Call:
     """One call, from its request to the one thing that becomes of it."""
 
@@ -94,7 +98,7 @@
     """Watches while told to; whatever goes wrong is reported once and ends the watch."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: Reader, apply: Apply,
-                 failed: Callable[[], None], pushed: bool, drain_grace: float) -> None:
+                 failed: Callable[[ListKind], None], pushed: bool, drain_grace: float) -> None:
         self.loop = loop
         self.pushed = pushed
         self.drain_grace = drain_grace
@@ -150,17 +154,18 @@
                 if answer is None:
                     raise ConnectionResetError("no whole answer")
                 if not self._accept(answer):
-                    raise ConnectionError(f"status {answer.status}, or unsound")
+                    raise Refused(f"status {answer.status}, or unsound")
                 self._found()
         except (OSError, TimeoutError) as exc:
             if not self.lost:
                 log.warning("the watch is lost: %s", str(exc) or "silent")
             self.lost = True
+            failure = ListKind.FAILED if isinstance(exc, Refused) else ListKind.BROKEN
         finally:  # its own connection alone: after a move another watch has one of its own
             self._hang_up(connection)
             self.asked.set()
         self.task = None
-        self.failed()
+        self.failed(failure)
         if self.pushed:  # the module does not ask where lists are pushed
             self.loop.call_later(PUSH_RETRY * self.drain_grace, self.watch)
 
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -158,8 +158,8 @@
             (self.ready.add if ready else self.ready.discard)(entry.id)
         return self._tell(self.balancer.on_list, ServerList(kind, tuple(one.entry for one in listed)))
 
-    def discovery_failed(self) -> None:
-        self._tell(self.balancer.on_list, ServerList(ListKind.FAILED))
+    def discovery_failed(self, kind: ListKind) -> None:
+        self._tell(self.balancer.on_list, ServerList(kind))
 
     def discovery_moved(self) -> None:
         self._tell(self.balancer.on_discovery_moved)
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -50,6 +50,7 @@
 REFUSALS = 10  # connects refused in a row that still double the rest
 LONGEST = 4  # doublings of the aim: the longest such rest
 WATCH_SHARE = 0.005  # of the longest time without asking, for each balancer: pause after a failed watch
+RENEW = 2.0  # seconds: a watch that stood and broke is begun anew within this; its news is due in 6
 TRY_SLACK = 0.05  # of the time for a first try: a retry's may differ by this without telling anything
 SHARE_WINDOW = 3.0  # seconds: what a tenant leaves of its share is kept so long for it
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
@@ -145,6 +146,7 @@
         self.hints = [0.0] * len(settings.classes)  # running mean of the cost hints
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = 0
+        self.watched = False  # discovery has told of its list, or has moved, and no call has failed since
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
         self.patience = [0] * len(settings.classes)  # of the latest first try
         self.unused = [self._most_unused(share) for share in settings.shares]  # by tenant
@@ -165,23 +167,25 @@
 
     def on_discovery_moved(self, now: int) -> list[Action]:
         """Another discovery answers from now on: asked at once, and not blamed for the old one's failures."""
-        self.watch_failures = 0
+        self.watch_failures, self.watched = 0, True
         if self.settings.ask_discovery:
             self.acts.append(Watch())
         return self._done()
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
-        if update.kind is ListKind.FAILED:
+        if update.kind in (ListKind.FAILED, ListKind.BROKEN):
             if self.settings.ask_discovery:
                 # Well before it counts as told. All may have failed together, as one queue serves them all:
                 # sooner or closer to one another, their repeats would keep it full and all fail again.
                 share = WATCH_SHARE * self.settings.balancers * 2 ** self.watch_failures
                 pause = self.settings.ask_every * min(share, 1.0)
-                self.watch_failures = min(self.watch_failures + 1, 4)
+                if update.kind is ListKind.BROKEN and self.watched:  # no full queue
+                    pause = min(pause, RENEW * 1e9)
+                self.watch_failures, self.watched = min(self.watch_failures + 1, 4), False
                 self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
             return self._done()
         if update.kind is not ListKind.CACHED:
-            self.watch_failures = 0
+            self.watch_failures, self.watched = 0, True
         if update.kind is not ListKind.DELTA:
             listed = {e.id for e in update.entries}
             for server in self.servers.values():
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -116,10 +116,12 @@
 ]
 
 
-@pytest.mark.parametrize("reply", [*(answer(json.dumps(b).encode()) for b in BROKEN), answer(b"{"),
-                                   answer(b"[" * 60_000), b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-                                   answer(b"", "503 Service Unavailable"), answer(b"", "404 Not Found")])
-def test_a_broken_update_is_dropped_told_as_failed_and_asked_for_again(reply: bytes) -> None:
+@pytest.mark.parametrize(("reply", "kind"), [
+    *((reply, ListKind.FAILED) for reply in (
+        *(answer(json.dumps(b).encode()) for b in BROKEN), answer(b"{"), answer(b"[" * 60_000),
+        answer(b"", "503 Service Unavailable"), answer(b"", "404 Not Found"))),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", ListKind.BROKEN)])
+def test_a_broken_update_is_dropped_told_as_failed_and_asked_for_again(reply: bytes, kind: ListKind) -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         changed = settings()
@@ -128,7 +130,7 @@
             heard = listen(balancer)
             balancer.registry.replies.put_nowait(reply)
             await until(lambda: bool(heard))
-            assert heard[0].kind is ListKind.FAILED
+            assert heard[0].kind is kind
             await until(lambda: len(balancer.registry.paths) == 2)
             assert "from=1&" in balancer.registry.paths[1]
             assert (await balancer.ask(request())).body == b"done"
@@ -231,9 +233,11 @@
     async def main() -> None:
         stub = await Stub(says(answer())).start()
         async with node(stub) as balancer:
+            heard = listen(balancer)
             began = time.monotonic()
             await until(lambda: len(balancer.registry.paths) == 2)  # the first got no answer at all
             assert time.monotonic() - began < 10
+            assert [update.kind for update in heard] == [ListKind.BROKEN]
             hold = int(balancer.registry.paths[0].partition("hold_ms=")[2])
             assert hold / 1000 + GRACE <= 4.0  # what there is to tell counts as told soon after
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.harness import CLASSES, MS, S, Seen, World, entry, make_settings
-from dykeshift.interface import Cancel, ListKind, LoadReport, Outcome, Refuse, Request, Send
+from dykeshift.interface import Cancel, ListKind, LoadReport, Outcome, Refuse, Request, Send, SetTimer
 from dykeshift.rules import Balancer
 
 
@@ -632,6 +632,27 @@
     assert max(again) - min(again) > S
 
 
+def test_a_watch_that_stood_is_begun_anew_before_what_it_misses_counts_as_told() -> None:
+    """Told 6 s after it fell silent, 4 s after a move: with 200 balancers its pause alone took 5 to 10 s."""
+
+    def pause(world: World, kind: ListKind = ListKind.BROKEN) -> int:
+        world.announce(kind)
+        return [a.at for a in world.actions if isinstance(a, SetTimer) and a.token == "watch"][-1] - world.now
+
+    spread = []
+    for me in range(20):
+        world = World(make_settings(ask_discovery=True, balancers=200, me=me), seed=me)
+        assert pause(world) > 4 * S  # at a start all call at once: discovery's queue has to empty
+        world.announce(ListKind.FULL, entry(1))
+        assert pause(world, ListKind.FAILED) > 4 * S  # refused: its queue is full
+        world.announce(ListKind.FULL, entry(1))
+        spread.append(pause(world))
+        assert pause(world) > 4 * S  # not the watch, discovery itself has failed
+        world.balancer.on_discovery_moved(world.now)
+        spread.append(pause(world))
+    assert max(spread) <= 2 * S and max(spread) - min(spread) > S // 2
+
+
 def test_a_share_spread_thinly_over_many_balancers_still_counts() -> None:
     """Of 20 requests a second each of 200 balancers keeps a tenth: less than one in SHARE_WINDOW was none."""
     balancer = Balancer(make_settings(balancers=200, shares=(20.0,)), seed=1)
