Start with the watch alone where lists are asked for: two calls each filled the queue

At fault: Discovery.take_known, which since asks for the whole list first and so calls twice a start. Where lists are pushed that costs nothing and stays. Elsewhere the first call goes on from the known list; a generation that falls back shows another discovery's list, and the whole one is asked for.

--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -114,17 +114,21 @@
     def take_known(self, known: Any) -> None:
         """The list from before the start: it may be old, and it may be unsound or missing.
 
-        It serves until discovery answers, and the whole list is asked for all the same: its generation
-        may be another discovery's, and changes from there on would hide what changed before.
+        It serves until discovery answers. Where lists are pushed, the whole list is asked for all the
+        same: its generation may be another discovery's, and changes from there on would hide what changed
+        before. Where they are asked for, each call takes a share of what discovery can do for all, and
+        one that goes on from this generation is the only one that a start needs.
         """
         if known is None:
             return
         try:
-            _, _, listed = self.reader.read(known)
+            generation, _, listed = self.reader.read(known)
         except ValueError as exc:
             log.warning("the known list is dropped: %s", exc)
             return
         self.apply(ListKind.CACHED, listed)
+        if not self.pushed:
+            self.generation = generation
 
     def watch(self) -> None:
         """Begin a watch, unless one is on: the watch goes on by itself from answer to answer."""
@@ -219,6 +223,10 @@
         except (ValueError, RecursionError) as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
+        if not whole and self.generation is not None and generation < self.generation:
+            log.warning("generation %d after %d: another discovery's", generation, self.generation)
+            self.generation = None  # the whole list is asked for next
+            return True
         if whole or listed:
             log.info("%s %d: %d servers", "list" if whole else "change", generation, len(listed))
         sound = self.apply(ListKind.FULL if whole else ListKind.DELTA, listed)
