--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -33,7 +33,7 @@
 
 class Connection(Gatherer, asyncio.Protocol):
     __slots__ = ("loop", "transport", "parser", "exchange", "answer", "idle_since", "unwritten",
-                 "on_idle", "on_lost", "stray", "reusable", "used")
+                 "on_idle", "on_lost", "stray", "reusable", "used", "to_end")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, on_idle: Callable[[Connection], None],
                  on_lost: Callable[[Connection], None], max_body: int = MAX_BODY) -> None:
@@ -45,7 +45,7 @@
         self.exchange: Exchange | None = None
         self.answer: Answer | None = None
         self.idle_since = loop.time()
-        self.unwritten = self.stray = False
+        self.unwritten = self.stray = self.to_end = False
         self.reusable, self.used = True, False
 
     # ---- sending ----
@@ -120,6 +120,12 @@
         if exchange is not None:
             exchange.broken(not self.unwritten)
 
+    def eof_received(self) -> None:
+        """The end of an answer that has no length; a reset, which is told as a loss alone, is none."""
+        if self.to_end and self.exchange is not None and self.parser is not None:
+            answer = Answer(self.parser.get_status_code(), self.headers, bytes(self.body))
+            self._complete(answer, False)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._break()
         self.transport = self.parser = None  # ends the cycle with the parser, so no collection is needed
@@ -131,14 +137,20 @@
         if self.answer is not None or self.exchange is None:
             self.stray = True  # more than one answer to one request: nothing on it can be trusted
         self.begin()
+        self.to_end = False
 
     def on_headers_complete(self) -> None:
-        """Protects against waiting for an answer that nothing but the end of its connection would end."""
+        """Protects against waiting for an answer that nothing but the end of its connection would end.
+
+        Unless it says that it closes: then that end is the answer's.
+        """
         super().on_headers_complete()
         assert self.parser is not None
         framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
         if not framed and self.parser.get_status_code() >= 200:
-            raise Unacceptable(501)
+            if self.headers.get(b"connection", b"").lower() != b"close":
+                raise Unacceptable(501)
+            self.to_end = True
 
     def on_message_complete(self) -> None:
         if self.parser is None or self.stray:
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from collections.abc import Callable
 
@@ -39,6 +40,8 @@
     return pool
 
 
+TO_END = b"HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\n"
+
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"
 
 
@@ -59,6 +62,8 @@
     (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", close=True), Outcome.RESET),
     (says(b"NONSENSE\r\n\r\n"), Outcome.RESET),
     (says(answer(b"x" * 70_000)), Outcome.RESET),
+    (says(TO_END + b"body", close=True), Outcome.OK),
+    (says(TO_END + b"x" * 70_000, close=True), Outcome.RESET),
     # The connection stays open, and nothing on it would ever end these: not waited for.
     (says(b"HTTP/1.1 200 OK\r\n\r\nno length"), Outcome.RESET),
     (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody"), Outcome.RESET),
@@ -97,6 +102,27 @@
     run(main())
 
 
+@pytest.mark.parametrize(("reset", "outcome"), [(False, Outcome.OK), (True, Outcome.RESET)])
+def test_an_answer_without_a_length_ends_with_its_connection_unless_by_a_reset(
+        reset: bool, outcome: Outcome) -> None:
+    async def main() -> None:
+        stub = await Stub(says(TO_END + b"body")).start()
+        shot = Shot(make_pool(stub.address))
+        await until(lambda: shot.attempt.connection is not None and shot.attempt.connection.body == b"body")
+        assert not shot.ends
+        if reset:
+            stub.writers[0].get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stub.writers[0].transport.abort()
+        else:
+            stub.writers[0].close()
+        end = await shot.end()
+        assert end.outcome is outcome and (end.answer is not None) == (outcome is Outcome.OK)
+        await until(lambda: not shot.attempt.pool.open)
+
+    run(main())
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def main() -> None:
         with socket.socket() as free:
