Let a crowd pass in the same time however few requests one balancer sees

Reasons counted over the fleet: from 21 s on six of ten looks found a server free, and 29,000 requests in 1.5 s were not placed for the crowd alone. Ruled out: rooms (0.28 throughout), cold credit (3% of the looks at 21 s), rests of failed connects (under 1%). At fault: rules._place, CROWD_STEP a request: a full crowd takes 500 requests to pass, 4.5 s at 110 a second and a minute at the 9 that one of 200 balancers sees. A test that filled a server at its start showed that wait to be needed.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -44,6 +44,7 @@
 TIGHT = 3.0  # times the usual latency: with less than this left all are drawn and the quickest goes first
 SOFTER, HARDER = 1.4, 0.3  # rooms grow on slower answers while servers warm up, on quicker ones in a crowd
 CROWD_STEP, CROWD_FREE = 0.02, 0.1  # one request's weight; part that may find no room before others wait
+CROWD_SPAN, CROWD_MOST = 1.5, 0.1  # overload windows until a crowd is forgotten; the most weight for it
 BUSY = 0.8  # utilization reported: hardly ever without a queue
 PACE_SMOOTH = 0.2  # the same for one server's pace: it follows the last few answers
 HUNG = 2  # failures of a class in a row at a server, or times its patience, from which it hangs there
@@ -372,7 +373,10 @@
         dear = self.crowd > value and not item.attempts
         drawn = [] if dear else self._draw(now, item)
         if now == item.arrived:  # those made to wait count as well placed: low classes alone are not starved
-            self.crowd = min(1.0, max(0.0, self.crowd + CROWD_STEP * ((not drawn and not dear) - CROWD_FREE)))
+            # The fewer requests this instance sees, the more each weighs: a crowd lasts as long at any size.
+            span = CROWD_SPAN * CROWD_FREE * self.arrivals  # none before they have been measured
+            step = min(CROWD_MOST, max(CROWD_STEP, 1 / span)) if span else CROWD_STEP
+            self.crowd = min(1.0, max(0.0, self.crowd + step * ((not drawn and not dear) - CROWD_FREE)))
         if not drawn:
             self._hold(now, item)
             return
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -588,6 +588,21 @@
     world.settle()
 
 
+def test_a_crowd_passes_as_soon_where_one_instance_sees_few_requests() -> None:
+    """join+mass: servers stood free, and for 20 s each of 200 balancers held back what is worth less."""
+    for between in (10 * MS, 100 * MS):
+        world = fleet(12)
+        for n in range(int(20 * S / between)):
+            if n == int(5 * S / between):
+                world.balancer.crowd = 1.0  # as a jam leaves it
+            rid = world.submit(0)
+            world.advance(min(between, 30 * MS))
+            world.end_all(rid)
+            world.advance(max(0, between - 30 * MS))
+        assert world.balancer.crowd == 0.0, f"{between / MS} ms between requests"
+        world.settle()
+
+
 def test_in_a_crowd_a_retry_that_is_past_its_aim_is_refused_at_once() -> None:
     """Recording inc7570: clients came back with 160 of 199 ms left, when only 120 had been of use to them."""
     world = fleet(1, retry_advice_limit=2 * S)
