--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,6 @@
+"""Run the emulator's command line: `python -m emulator`."""
+
+from emulator.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/emulator/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A whole fleet on one machine: stand-in discovery, photo servers and clients around real balancers."""
