Refill a tenant's share when the tenant asks, not all shares at each request

Cause: each request refilled the shares of all tenants, 15,000 steps for one answer. Change: TenantShares keeps what is left and the time of the last refill by tenant in two arrays (240 kB for 15,000 tenants) and refills the one that asks.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from array import array
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -120,6 +121,41 @@
         return next((a for a in self.attempts if a.end not in NOT_RUN), None)
 
 
+class TenantShares:
+    """What each tenant has left of its share, of which each balancer keeps an equal part.
+
+    Refilled for one tenant at a time, when it asks: the work does not grow with their number.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.rates = settings.shares
+        self.balancers = settings.balancers
+        self.unused = array("d", (self._most_unused(rate) for rate in self.rates))
+        self.refilled = array("q", bytes(8 * len(self.rates)))  # clock time, by tenant
+
+    def _most_unused(self, rate: float) -> float:
+        """One request at least: split among many balancers, a share would else be worth nothing."""
+        return max(1.0, rate / self.balancers * SHARE_WINDOW)
+
+    def take(self, now: int, request: Request) -> bool:
+        """Use up one request of its tenant's share; False if nothing is left of it.
+
+        A client's retry belongs to its first try and uses up nothing.
+        """
+        tenant = request.tenant
+        if not self.rates:
+            return True
+        if tenant >= len(self.rates):
+            return False
+        rate = self.rates[tenant]
+        grown = rate / self.balancers * (now - self.refilled[tenant]) / 1e9
+        unused = min(self._most_unused(rate), self.unused[tenant] + grown)
+        within = unused >= 1
+        self.unused[tenant] = unused - (within and not request.retry)
+        self.refilled[tenant] = now
+        return within
+
+
 def _count(counts: dict[str, int], name: str) -> None:
     counts[name] = counts.get(name, 0) + 1
 
@@ -150,8 +186,7 @@
         self.watched = False  # discovery has told of its list, or has moved, and no call has failed since
         self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
         self.patience = [0] * len(settings.classes)  # of the latest first try
-        self.unused = [self._most_unused(share) for share in settings.shares]  # by tenant
-        self.refilled = 0  # when these last grew
+        self.shares = TenantShares(settings)
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
         self.acts: list[Action] = []
 
@@ -336,7 +371,7 @@
 
     def on_request(self, now: int, request: Request) -> list[Action]:
         klass = self.settings.classes[request.klass]
-        item = self.open[request.id] = Open(request, klass, now, beyond=self._beyond(now, request))
+        item = self.open[request.id] = Open(request, klass, now, beyond=not self.shares.take(now, request))
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
         if self.sweeps < 2 and 2 * self.arrived >= MET * len(self.pool) and len(self.pool) < len(self.ready):
             self._gather(now)  # many requests: a start with few servers would refuse some of them
@@ -362,27 +397,6 @@
             return False
         return item.klass.deadline - left > item.klass.aim
 
-    def _most_unused(self, share: float) -> float:
-        """One request at least: split among many balancers, a share would else be worth nothing."""
-        return max(1.0, share / self.settings.balancers * SHARE_WINDOW)
-
-    def _beyond(self, now: int, request: Request) -> bool:
-        """Whether the tenant has used up its share, of which each balancer keeps an equal part.
-
-        A client's retry belongs to its first try and uses up nothing.
-        """
-        for n, share in enumerate(self.settings.shares):
-            part = share / self.settings.balancers
-            grown = self.unused[n] + part * (now - self.refilled) / 1e9
-            self.unused[n] = min(self._most_unused(share), grown)
-        self.refilled = now
-        if not self.unused:
-            return False
-        if request.tenant >= len(self.unused) or self.unused[request.tenant] < 1:
-            return True
-        self.unused[request.tenant] -= not request.retry
-        return False
-
     def _place(self, now: int, item: Open) -> None:
         """RIQ for a request that has nothing out."""
         value = self.value[item.request.klass] * (self.settings.over_share_worth if item.beyond else 1.0)
