Bring new versions of the settings into force in service, asked for at an agent

SIGHUP moves discovery alone: with another class in the file, a running process went on answering 400 to it and 200 to the one removed.

Where NODE_CONFIG names "control", a balancer asks the agent there: GET /v1/settings?from=V&hold_ms=M, HTTP/1.1 and JSON as discovery's watch. control.py decides without I/O: newer versions are applied, older ones ignored, a bad one is turned down whole with the path of its fault on one line, and the newest sound one below it is asked for (?before=V), so that a restart comes to the version that was in force before it. A new process asks before it listens, for 1 s at most. az, me, zones, kinds and the way of discovery stay those of the start.

The module takes Balancer.on_settings: classes and tenants are known by name, what was learned of those that stay is kept, open requests end under the class they began with, and a removed class keeps a number for as long as its requests are open. An id whose unsafe attempt is out is refused also under a class that became safe.

--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -85,6 +85,7 @@
     fairness: float = 0.0  # weight of the worst-served class, as a multiple of that of all requests
     retry_advice_limit: int = 0  # longest wait that a client respects; 0: advice does not reach clients
     shares: tuple[float, ...] = ()  # of the tenants: requests per second, over all balancers
+    tenants: tuple[str, ...] = ()  # their names, in the same order
     me: int = 0  # which of the balancers this is
     over_share_worth: float = 1.0  # of a request beyond its tenant's share, as a part of its class's worth
 
--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -11,15 +11,19 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 import uvloop
 
+from dykeshift.control import SettingsControl
 from dykeshift.node import config, requests
 from dykeshift.node.discovery import Discovery, Reader
 from dykeshift.node.driver import Driver
 from dykeshift.node.http1 import has_input
 from dykeshift.node.reload import Reload
 from dykeshift.node.server import Front
+from dykeshift.node.service_settings import ServiceSettings
+from dykeshift.node.settings_watch import SettingsWatch
 from dykeshift.node.upstream import Pool
 from dykeshift.rules import Balancer
 
@@ -63,18 +67,31 @@
         raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     driver.start()
     discovery.take_known(given.known)
+    watch = watch_settings(given, ServiceSettings(driver, discovery, front))
     if not given.settings.ask_discovery:
         discovery.watch()
         # What the agent has counts as told since before the program was loaded: the list known from
         # before serves only if the agent has nothing to say.
         await discovery.asked.wait()
+    if watch is not None:
+        await watch.wait_settled()
     await server.start_serving()
     gc.collect()
     gc.freeze()  # what lives as long as the program is not walked again by each collection
     if started is not None:
         started(front, server, reload)
     await stop.wait()
-    await wind_down(front, server, max((c.deadline for c in given.settings.classes), default=0) / 1e9)
+    await wind_down(front, server, max((c.deadline for c in front.reader.classes), default=0) / 1e9)
+
+
+def watch_settings(given: config.Config, service: ServiceSettings) -> SettingsWatch[config.Config] | None:
+    """The watch on the settings, begun, where the configuration names an agent for it."""
+    if given.control is None:
+        return None
+    base: dict[str, Any] = given.raw["settings"]
+    parse = partial(config.with_settings, given)
+    control = SettingsControl(base, given.settings_version, parse, given.seed)
+    return SettingsWatch(asyncio.get_running_loop(), given.control, control, service.put_in_force)
 
 
 async def wind_down(front: Front, server: asyncio.Server, longest: float) -> None:
--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -22,6 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    raw: dict[str, Any]  # as it was read
     listen: Address
     discovery: Address
     seed: int
@@ -34,6 +35,8 @@
     keepalive: float  # seconds after which an upstream closes an idle connection
     connect_timeout: float  # seconds
     drain_grace: float  # seconds after a drain is told in which sends to that server have to stop
+    settings_version: int  # of the settings; 0 where the deployment counts none
+    control: Address | None  # the agent that tells of new settings in service, where there is one
 
 
 def read_address(text: Any) -> Address:
@@ -70,6 +73,7 @@
     rules = need(given, "obligations", "settings.")
     seed = str(need(raw, "seed", ""))
     return Config(
+        raw=raw,
         listen=read_address(need(raw, "listen", "")),
         discovery=read_address(need(raw, "discovery", "")),
         seed=int.from_bytes(seed.encode(), "big"),
@@ -82,4 +86,11 @@
         keepalive=float(need(limits, "keepaliveNs", "bounds.")) / 1e9,
         connect_timeout=float(need(limits, "connectTimeoutNs", "bounds.")) / 1e9,
         drain_grace=float(need(rules, "drainGraceNs", "obligations.")) / 1e9,
+        settings_version=int(raw.get("settings_version", 0)),
+        control=read_address(raw["control"]) if "control" in raw else None,
     )
+
+
+def with_settings(base: Config, given: Any) -> Config:
+    """The same configuration with other settings."""
+    return parse({**base.raw, "settings": given})
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -24,6 +24,7 @@
     ServerList,
     ServerState,
     SetTimer,
+    Settings,
     Watch,
 )
 from dykeshift.node.config import Address
@@ -98,7 +99,7 @@
         may come with its id again by then, as after a connection that broke.
         """
         return any(
-            job.incoming.id == incoming.id and (not job.closed or incoming.unsafe)
+            job.incoming.id == incoming.id and (not job.closed or incoming.unsafe or job.incoming.unsafe)
             for job in self.jobs.values()
         )
 
@@ -173,6 +174,10 @@
     def discovery_moved(self) -> None:
         self._tell(self.balancer.on_discovery_moved)
 
+    def settings_changed(self, settings: Settings) -> bool:
+        """Requests that come from now on go by these; False: the module failed over them."""
+        return self._tell(self.balancer.on_settings, settings)
+
     def _remove(self, number: int) -> None:
         self.pool.drop(number)
         self.ready.discard(number)
--- /dev/null
+++ b/dykeshift/node/service_settings.py
@@ -0,0 +1,31 @@
+"""Puts settings into force in a balancer that serves: nothing that is open is lost or begun anew."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from dykeshift.node import config, requests
+from dykeshift.node.discovery import Discovery
+from dykeshift.node.driver import Driver
+from dykeshift.node.server import Front
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """The parts of the program that go by the settings."""
+
+    driver: Driver
+    discovery: Discovery
+    front: Front
+
+    def put_in_force(self, new: config.Config) -> bool:
+        """All parts in one turn of the event loop; False, and nothing is changed, if the module failed.
+
+        Connects under way keep the time-out they began with, and open requests their class.
+        """
+        if not self.driver.settings_changed(new.settings):
+            return False
+        self.driver.pool.set_times(new.connect_timeout, new.keepalive)
+        self.discovery.drain_grace = new.drain_grace
+        self.front.reader = requests.Reader(new.settings.classes, new.tenants)
+        return True
--- /dev/null
+++ b/dykeshift/node/settings_watch.py
@@ -0,0 +1,101 @@
+"""Watches the settings at the agent on this machine and puts each new version into force."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from typing import Generic
+
+from dykeshift.control import Apply, DocumentError, Ignore, Parsed, Query, Reject, SettingsControl
+from dykeshift.node.call import Caller
+from dykeshift.node.config import Address
+from dykeshift.node.connection import Answer
+
+log = logging.getLogger(__name__)
+
+MAX_DOCUMENT = 1024 * 1024  # bytes
+GRACE = 0.5  # seconds, beyond the hold, until a call that had no answer counts as failed
+EARLY = 0.5  # of the hold: an answer without news that comes sooner was not held
+START_WAIT = 1.0  # seconds that a new process waits at most for the agent's newest version
+
+
+class SettingsWatch(Generic[Parsed]):
+    """Asks again and again, after a failure with a pause; what is in force stays until a sound one comes."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        control: SettingsControl[Parsed],
+        put_in_force: Callable[[Parsed], bool],
+    ) -> None:
+        self.loop = loop
+        self.control = control
+        self.put_in_force = put_in_force  # says whether it could be done
+        self.caller = Caller(loop, address, MAX_DOCUMENT)
+        self.settled = asyncio.Event()  # the newest sound version of the agent has been in force once
+        self.lost = False  # the last call failed
+        self.task = loop.create_task(self._watch())
+
+    async def wait_settled(self) -> None:
+        """Wait until the agent's newest version is in force, but only for so long.
+
+        Protects against serving an older version than the one in force before a restart.
+        """
+        try:
+            async with asyncio.timeout(START_WAIT):
+                await self.settled.wait()
+        except TimeoutError:
+            log.warning("the agent has not told its settings: version %d serves", self.control.version)
+
+    def close(self) -> None:
+        """End the watch."""
+        self.task.cancel()
+        self.caller.close()
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                await self._ask(self.control.next_query())
+            except (OSError, TimeoutError, DocumentError) as exc:
+                await self._pause(exc)
+
+    async def _ask(self, query: Query) -> None:
+        began = self.loop.time()
+        answer = await self.caller.call(query.path, query.hold + GRACE)
+        decision = self._take(answer)
+        if self.lost:
+            log.info("the settings watch is back")
+        self.lost = False
+        if self.control.settled():
+            self.settled.set()
+        waited = self.loop.time() - began
+        if isinstance(decision, Ignore) and waited < EARLY * query.hold:
+            await asyncio.sleep(query.hold - waited)  # an agent that holds no calls is asked no more often
+
+    async def _pause(self, failure: Exception) -> None:
+        if not self.lost:
+            log.warning("the settings watch is lost: %s", str(failure) or "silent")
+        self.lost = True
+        self.caller.close()
+        await asyncio.sleep(self.control.on_failure())
+
+    def _take(self, answer: Answer) -> Apply[Parsed] | Ignore | Reject:
+        if answer.status != 200:
+            raise DocumentError(f"the agent answered {answer.status}")
+        try:
+            raw = json.loads(answer.body)
+        except (ValueError, RecursionError) as exc:
+            raise DocumentError(f"a settings document is no JSON: {exc}") from None
+        decision = self.control.on_document(raw)
+        if isinstance(decision, Apply):
+            if self.put_in_force(decision.parsed):
+                self.control.applied(decision.version)
+                log.info("settings version %d is in force", decision.version)
+                return decision
+            decision = self.control.failed(decision.version, "the decision module failed over it")
+        if isinstance(decision, Reject):
+            log.error("%s", decision.reason)
+        return decision
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -187,6 +187,11 @@
         self.connecting: set[asyncio.Task[None]] = set()
         self.sweeper = loop.call_later(SWEEP, self.sweep)
 
+    def set_times(self, connect_timeout: float, keepalive: float) -> None:
+        """Other times for connections from now on, for those that are open too."""
+        self.connect_timeout = connect_timeout
+        self.keepalive = keepalive * FRESH
+
     # ---- what discovery tells ----
 
     def put(self, number: int, address: Address, started: int, ready: bool) -> None:
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -128,6 +128,7 @@
     """
 
     def __init__(self, settings: Settings) -> None:
+        self.names = settings.tenants
         self.rates = settings.shares
         self.balancers = settings.balancers
         self.unused = array("d", (self._most_unused(rate) for rate in self.rates))
@@ -137,6 +138,20 @@
         """One request at least: split among many balancers, a share would else be worth nothing."""
         return max(1.0, rate / self.balancers * SHARE_WINDOW)
 
+    def _left(self, now: int, tenant: int) -> float:
+        rate = self.rates[tenant]
+        grown = rate / self.balancers * (now - self.refilled[tenant]) / 1e9
+        return min(self._most_unused(rate), self.unused[tenant] + grown)
+
+    def take_over(self, now: int, other: TenantShares) -> None:
+        """What the tenants of the same names have left, as far as these shares allow."""
+        numbers = {name: n for n, name in enumerate(other.names)}
+        for tenant, name in enumerate(self.names):
+            if name in numbers:
+                most = self._most_unused(self.rates[tenant])
+                self.unused[tenant] = min(most, other._left(now, numbers[name]))
+                self.refilled[tenant] = now
+
     def take(self, now: int, request: Request) -> bool:
         """Use up one request of its tenant's share; False if nothing is left of it.
 
@@ -147,9 +162,7 @@
             return True
         if tenant >= len(self.rates):
             return False
-        rate = self.rates[tenant]
-        grown = rate / self.balancers * (now - self.refilled[tenant]) / 1e9
-        unused = min(self._most_unused(rate), self.unused[tenant] + grown)
+        unused = self._left(now, tenant)
         within = unused >= 1
         self.unused[tenant] = unused - (within and not request.retry)
         self.refilled[tenant] = now
@@ -189,6 +202,7 @@
         self.shares = TenantShares(settings)
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
         self.acts: list[Action] = []
+        self.class_slots = [c.name for c in settings.classes]  # by class number; removed ones at the end
 
     def _done(self) -> list[Action]:
         acts, self.acts = self.acts, []
@@ -201,6 +215,42 @@
             self.acts.append(Watch())
         return self.on_timer(now, "sweep")
 
+    def on_settings(self, now: int, settings: Settings) -> list[Action]:
+        """Other settings from now on; open requests end under the class they began with.
+
+        Classes and tenants are known by name: what was learned of those that stay is kept. A removed class
+        keeps a number behind the others for as long as requests of it are open.
+        """
+        known = {name: n for n, name in reversed(list(enumerate(self.class_slots)))}
+        slots = [known.get(c.name) for c in settings.classes]  # by new number: the old one
+        open_classes = {item.request.klass for item in self.open.values()}
+        slots += [n for n in sorted(open_classes) if n not in slots]
+        self._renumber(slots, settings)
+        shares = TenantShares(settings)
+        shares.take_over(now, self.shares)
+        self.shares = shares
+        self.arrivals *= settings.overload_window / self.settings.overload_window
+        self.settings = settings
+        self._appraise()
+        return self._done()
+
+    def _renumber(self, slots: list[int | None], settings: Settings) -> None:
+        """Give each class its new number, in all that is kept by class; `slots` has the old ones."""
+        guess = [c.aim * FIRST_GUESS for c in settings.classes]
+        self.usual = [guess[k] if n is None else self.usual[n] for k, n in enumerate(slots)]
+        self.least = [guess[k] if n is None else self.least[n] for k, n in enumerate(slots)]
+        self.value = [1.0 if n is None else self.value[n] for n in slots]
+        self.hints = [0.0 if n is None else self.hints[n] for n in slots]
+        self.patience = [0 if n is None else self.patience[n] for n in slots]
+        old, new = self.class_slots, [c.name for c in settings.classes]
+        self.class_slots = new + [old[n] for n in slots[len(new) :] if n is not None]
+        numbers = {n: k for k, n in enumerate(slots) if n is not None}
+        held = [a.server for item in self.open.values() for a in item.attempts]  # some are listed no more
+        for server in dict.fromkeys([*self.servers.values(), *held]):
+            server.lanes = [Lane() if n is None else server.lanes[n] for n in slots]
+        for item in self.open.values():
+            item.request = replace(item.request, klass=numbers[item.request.klass])
+
     def on_discovery_moved(self, now: int) -> list[Action]:
         """Another discovery answers from now on: asked at once, and not blamed for the old one's failures."""
         self.watch_failures, self.watched = 0, True
@@ -232,9 +282,7 @@
         for entry in update.entries:
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
-                new.append(
-                    Server(entry, 0.0, self.random(), self.arrived, [Lane() for _ in self.settings.classes])
-                )
+                new.append(Server(entry, 0.0, self.random(), self.arrived, [Lane() for _ in self.usual]))
                 self.servers[entry.id] = new[-1]
             else:
                 known.entry = entry
@@ -687,10 +735,10 @@
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
         worths = [max(c.worth, 1e-9) for c in self.settings.classes]
-        costs = [1.0 if self.settings.worth_by_work else u for u in self.usual]
+        costs = [1.0 if self.settings.worth_by_work else u for u in self.usual[: len(worths)]]
         per_work = [w / c * sum(costs) / sum(worths) for w, c in zip(worths, costs, strict=True)]
         fair = self.settings.fairness * len(worths)
-        self.value = [min(1.0, (v + fair) / max(per_work)) for v in per_work]
+        self.value[: len(worths)] = [min(1.0, (v + fair) / max(per_work)) for v in per_work]
 
     def _report(self) -> None:
         """The state by which requests are let in, held and placed, for those who run this."""
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -88,6 +88,7 @@
             worth_by_work=raw.get("valueBy") == "work",
             fairness=worst / (1 - worst),
             shares=tuple(float(need(p, "quotaPerS", "parties[].")) for p in raw.get("parties", ())),
+            tenants=tuple(str(p.get("name", n)) for n, p in enumerate(raw.get("parties", ()))),
             over_share_worth=float(raw.get("overShareWorth", 1.0)),
             retry_advice_limit=int(limits.get("maxRetryAfterNs", 0)) if limits.get("retryAfter") else 0,
         )
