Agree on settings versions among three control machines, and keep them durably

A stand-in for the control plane behind the agents, in emulator/control/. Each version is one instance of single-decree Paxos (Lamport, "Paxos Made Simple", 2001) in a replica without I/O; a machine writes its promises, acceptances and choices to a log with checksums and syncs it before anything that follows from them is sent. A change needs two of three; without them it is turned down with one line, or called unknown where a machine may have accepted it, and is then sent again under its id. A new process waits 3 s at most for its agent, no longer 1 s: with 420 starts at once on a loaded machine the agents' one process took longer, and 129 balancers served an older version.

A recovery test crashes a machine at every fault point of its log (before, within and after each write, after each sync), as killed and as without power; 40 random histories lose messages, cut machines off and publish at two of them at once.

--- a/dykeshift/node/call.py
+++ b/dykeshift/node/call.py
@@ -38,14 +38,18 @@
 
     async def call(self, path: str, timeout: float, body: bytes | None = None) -> Answer:
         """The answer to a GET, or to a POST where there is a body; OSError or TimeoutError if none comes."""
+        method, length = ("GET", "") if body is None else ("POST", f"Content-Length: {len(body)}\r\n")
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n{length}\r\n"
+        return await self.exchange(head.encode() + (body or b""), timeout)
+
+    async def exchange(self, message: bytes, timeout: float) -> Answer:
+        """The answer to a whole request; OSError or TimeoutError if none comes."""
         connection = self.connection
         if connection is None or not connection.alive():
             self.close()
             connection = self.connection = await self._connect()
         future: asyncio.Future[Answer] = self.loop.create_future()
-        method, length = ("GET", "") if body is None else ("POST", f"Content-Length: {len(body)}\r\n")
-        head = f"{method} {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n{length}\r\n"
-        connection.send(head.encode() + (body or b""), Exchange(future))
+        connection.send(message, Exchange(future))
         try:
             async with asyncio.timeout(timeout):
                 return await future
--- a/dykeshift/node/settings_watch.py
+++ b/dykeshift/node/settings_watch.py
@@ -18,7 +18,7 @@
 MAX_DOCUMENT = 1024 * 1024  # bytes
 GRACE = 0.5  # seconds, beyond the hold, until a call that had no answer counts as failed
 EARLY = 0.5  # of the hold: an answer without news that comes sooner was not held
-START_WAIT = 1.0  # seconds that a new process waits at most for the agent's newest version
+START_WAIT = 3.0  # seconds that a new process waits at most for the agent's newest version
 
 
 class SettingsWatch(Generic[Parsed]):
--- /dev/null
+++ b/emulator/control/durable_log.py
@@ -0,0 +1,94 @@
+"""An append-only log of records that survives a crash at any point.
+
+Each record is preceded by its length and checksum. What a crash left unfinished at the end is cut off when
+the log is opened again; whatever `append` has returned from is there.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from emulator.control.messages import Record
+
+HEADER = struct.Struct("!II")  # length and checksum of the record that follows
+MAX_RECORD = 16 * 1024 * 1024  # bytes; a longer one is taken for a torn header
+
+_decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
+
+FaultPoint = Callable[[str], None]  # called at each point at which a crash is of interest; tests raise there
+
+
+def no_fault(point: str) -> None:
+    """The fault point of a machine that does not crash."""
+
+
+def encode(record: Record) -> bytes:
+    """The record as it stands in the file."""
+    body = msgspec.msgpack.encode(record)
+    return HEADER.pack(len(body), zlib.crc32(body)) + body
+
+
+def decode(data: bytes) -> tuple[list[Record], int]:
+    """All whole records from the start, and the length that they take up."""
+    records: list[Record] = []
+    end = 0
+    while end + HEADER.size <= len(data):
+        length, checksum = HEADER.unpack_from(data, end)
+        body = data[end + HEADER.size : end + HEADER.size + length]
+        if length > MAX_RECORD or len(body) < length or zlib.crc32(body) != checksum:
+            break
+        records.append(_decoder.decode(body))
+        end += HEADER.size + length
+    return records, end
+
+
+class DurableLog:
+    """The log of one machine; `records` is what was found in it as it was opened."""
+
+    def __init__(self, path: Path, reach: FaultPoint = no_fault) -> None:
+        self.reach = reach
+        is_new = not path.exists()
+        self.file = open(path, "r+b" if not is_new else "w+b", buffering=0)  # noqa: SIM115
+        self.records, end = decode(self.file.read())
+        self.file.truncate(end)
+        self.file.seek(end)
+        os.fsync(self.file.fileno())
+        if is_new:
+            self._sync_folder(path.parent)
+
+    @staticmethod
+    def _sync_folder(folder: Path) -> None:
+        """Make the file's name durable too."""
+        descriptor = os.open(folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def append(self, records: list[Record]) -> None:
+        """Write these; on return they are durable."""
+        if not records:
+            return
+        data = b"".join(map(encode, records))
+        half = len(data) // 2
+        self.reach("before the write")
+        self._write(data[:half])
+        self.reach("in the middle of the write")
+        self._write(data[half:])
+        self.reach("before the sync")
+        os.fsync(self.file.fileno())
+        self.reach("after the sync")
+
+    def _write(self, data: bytes) -> None:
+        while data:
+            data = data[self.file.write(data) :]
+
+    def close(self) -> None:
+        """Close the file."""
+        self.file.close()
--- /dev/null
+++ b/tests/emulator/test_control_plane.py
@@ -0,0 +1,306 @@
+"""Control machines: one sequence of versions whatever is lost, cut off or killed between any two writes."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from emulator.control.durable_log import DurableLog, decode, encode
+from emulator.control.messages import AcceptRecord, Change, ChosenRecord, Message, PromiseRecord, Record
+from emulator.control.replica import Outcome, Replica, Step, Verdict
+
+MACHINES = 3
+TICK = 0.02
+
+
+class CrashError(Exception):
+    """The machine ends here, with nothing more written."""
+
+
+@dataclass
+class Faults:
+    """Counts the fault points of all machines and ends one of them at the wanted one."""
+
+    crash_at: int = 0  # 0: nowhere
+    reached: int = 0
+
+    def reach(self, _: str) -> None:
+        self.reached += 1
+        if self.reached == self.crash_at:
+            raise CrashError
+
+
+@dataclass
+class Host:
+    """One machine: its log file outlives it."""
+
+    index: int
+    path: Path
+    faults: Faults
+    replica: Replica | None = None
+    log: DurableLog | None = None
+    synced: int = 0  # bytes of the log that are durable for certain
+    down_until: float = 0.0
+
+    def start(self) -> None:
+        self.log = DurableLog(self.path, self.faults.reach)
+        self.replica = Replica(self.index, MACHINES, self.log.records, seed=self.index)
+
+    def append(self, records: list[Record]) -> None:
+        assert self.log is not None
+        self.log.append(records)
+        self.synced = self.path.stat().st_size
+
+    def lose_unsynced(self) -> None:
+        """What a machine that loses its power may lose."""
+        os.truncate(self.path, self.synced)
+
+    def stop(self) -> None:
+        assert self.log is not None
+        self.log.close()
+        self.log = self.replica = None
+
+
+@dataclass
+class Cluster:
+    """Three machines, a network that loses and reorders, and one clock."""
+
+    folder: Path
+    crash_at: int = 0
+    lose_unsynced: bool = False
+    loss: float = 0.0
+    seed: int = 1
+    now: float = 0.0
+    cut: set[int] = field(default_factory=set)  # machines that no other one reaches
+    network: list[tuple[int, int, Message]] = field(default_factory=list)
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    served: dict[int, Change] = field(default_factory=dict)  # whatever any machine ever showed as a version
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.faults = Faults(self.crash_at)
+        self.hosts = [Host(n, self.folder / f"log{n}", self.faults) for n in range(MACHINES)]
+        for host in self.hosts:
+            host.start()
+
+    def replica(self, index: int) -> Replica:
+        replica = self.hosts[index].replica
+        assert replica is not None
+        return replica
+
+    def carry_out(self, host: Host, step: Step) -> None:
+        """As a machine does it: the log first, then messages and outcomes."""
+        assert host.replica is not None
+        try:
+            host.append(step.records)
+        except CrashError:
+            host.stop()
+            if self.lose_unsynced:
+                host.lose_unsynced()
+            host.down_until = self.now + 0.3
+            return
+        self.network += [(host.index, receiver, message) for receiver, message in step.messages]
+        for outcome in step.outcomes:
+            self.outcomes[outcome.change_id] = outcome
+        for version in range(1, host.replica.newest + 1):
+            change = host.replica.chosen[version]
+            assert self.served.setdefault(version, change) == change, f"version {version} is two things"
+
+    def turn(self) -> None:
+        """Deliver what is under way, in any order, then let a little time pass."""
+        messages, self.network = self.network, []
+        self.random.shuffle(messages)
+        for sender, receiver, message in messages:
+            host = self.hosts[receiver]
+            lost = self.random.random() < self.loss or {sender, receiver} & self.cut
+            if host.replica is not None and not lost:
+                self.carry_out(host, host.replica.receive(self.now, sender, message))
+        self.now += TICK
+        for host in self.hosts:
+            if host.replica is not None:
+                self.carry_out(host, host.replica.tick(self.now))
+            elif self.now >= host.down_until:
+                host.start()
+
+    def publish(self, change_id: str, at: int) -> Outcome | None:
+        """The outcome of one submission; None if the machine ended before it told any."""
+        host = self.hosts[at]
+        self.outcomes.pop(change_id, None)
+        if host.replica is None:
+            return None
+        self.carry_out(host, host.replica.submit(self.now, Change(change_id, "{}")))
+        until = self.now + 3.0
+        while change_id not in self.outcomes and self.now < until and host.replica is not None:
+            self.turn()
+        return self.outcomes.get(change_id)
+
+    def publish_until_accepted(self, change_id: str, at: int) -> int:
+        """Its version: sent again under its id, at one machine after another, as a publisher does."""
+        for attempt in range(20):
+            outcome = self.publish(change_id, (at + attempt) % MACHINES)
+            if outcome is not None and outcome.verdict is Verdict.ACCEPTED:
+                return outcome.version
+            self.turn()
+        raise AssertionError(f"{change_id} was never accepted")
+
+    def settle(self) -> list[str]:
+        """The one sequence that all machines come to, each started from its log once more."""
+        self.cut, self.loss = set(), 0.0
+        self.faults.crash_at = 0
+        for host in self.hosts:
+            if host.replica is not None:
+                host.stop()
+            host.start()
+        for _ in range(100):
+            self.turn()
+        sequences = [
+            [host.replica.chosen[v].change_id for v in range(1, host.replica.newest + 1)]
+            for host in self.hosts
+            if host.replica is not None
+        ]
+        assert len(sequences) == MACHINES and sequences[0] == sequences[1] == sequences[2]
+        return sequences[0]
+
+
+def check_history(cluster: Cluster, accepted: dict[str, int]) -> None:
+    """No accepted version is lost and none is two things."""
+    sequence = cluster.settle()
+    assert len(set(sequence)) == len(sequence), "a change is in force twice"
+    for change_id, version in accepted.items():
+        assert sequence[version - 1] == change_id, f"version {version} is not what was accepted"
+
+
+@pytest.mark.parametrize("lose_unsynced", [False, True], ids=["killed", "power lost"])
+def test_a_crash_between_any_two_writes_loses_no_accepted_version(
+    lose_unsynced: bool, tmp_path: Path
+) -> None:
+    """Every fault point of a history in turn: before, within and after each write, and after each sync."""
+
+    def history(folder: Path, crash_at: int) -> tuple[Cluster, dict[str, int]]:
+        folder.mkdir()
+        cluster = Cluster(folder, crash_at, lose_unsynced)
+        return cluster, {f"c{n}": cluster.publish_until_accepted(f"c{n}", at=n) for n in range(3)}
+
+    whole, accepted = history(tmp_path / "whole", 0)
+    points = whole.faults.reached
+    assert points >= 3 * 4 * MACHINES and sorted(accepted.values()) == [1, 2, 3]
+    for point in range(1, points + 1):
+        cluster, accepted = history(tmp_path / str(point), point)
+        check_history(cluster, accepted)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_one_sequence_with_lost_messages_cuts_and_two_publishers(seed: int, tmp_path: Path) -> None:
+    cluster = Cluster(tmp_path, crash_at=seed * 3, loss=0.15, seed=seed)
+    accepted: dict[str, int] = {}
+    for n in range(6):
+        cluster.cut = {cluster.random.randrange(MACHINES)} if n % 3 == 1 else set()
+        rival = cluster.hosts[(n + 1) % MACHINES]
+        if rival.replica is not None:  # at the same time as the next one, for the same version
+            cluster.carry_out(rival, rival.replica.submit(cluster.now, Change(f"rival{n}", "{}")))
+        accepted[f"c{n}"] = cluster.publish_until_accepted(f"c{n}", at=n % MACHINES)
+    for change_id, outcome in cluster.outcomes.items():
+        if outcome.verdict is Verdict.ACCEPTED:
+            accepted[change_id] = outcome.version
+    turned_down = {i for i, o in cluster.outcomes.items() if o.verdict is Verdict.TURNED_DOWN}
+    check_history(cluster, accepted)
+    assert not turned_down & {change.change_id for change in cluster.served.values()}
+
+
+def test_a_minority_turns_changes_down_and_serves_the_last_version(tmp_path: Path) -> None:
+    cluster = Cluster(tmp_path)
+    cluster.publish_until_accepted("before", at=0)
+    for _ in range(20):
+        cluster.turn()
+    cluster.cut = {2}
+    outcome = cluster.publish("minority", at=2)
+    assert outcome is not None and outcome.verdict is Verdict.TURNED_DOWN
+    assert outcome.reason == "turned down: 1 of 3 control machines answered, 2 are needed"
+    assert cluster.publish_until_accepted("majority", at=0) == 2
+    assert cluster.replica(2).newest == 1
+    assert cluster.settle() == ["before", "majority"]
+
+
+def test_a_change_that_some_machine_may_have_accepted_is_not_called_turned_down(tmp_path: Path) -> None:
+    cluster = Cluster(tmp_path)
+    host = cluster.hosts[0]
+    cluster.carry_out(host, cluster.replica(0).submit(0.0, Change("x", "{}")))
+    cluster.turn()  # the prepares arrive
+    cluster.turn()  # the promises arrive: its own log has accepted it
+    cluster.cut = {0}
+    while "x" not in cluster.outcomes:
+        cluster.turn()
+    assert cluster.outcomes["x"].verdict is Verdict.UNKNOWN
+    again = cluster.publish("x", at=0)
+    assert again is not None and again.verdict is Verdict.UNKNOWN  # the trace is still there
+    cluster.cut = set()
+    assert cluster.publish_until_accepted("y", at=1) in (1, 2)
+    version = cluster.publish_until_accepted("x", at=0)
+    check_history(cluster, {"x": version})
+
+
+def test_a_change_that_is_sent_again_has_the_same_version(tmp_path: Path) -> None:
+    cluster = Cluster(tmp_path)
+    first = cluster.publish_until_accepted("x", at=0)
+    assert cluster.publish_until_accepted("y", at=1) == 2
+    assert cluster.publish_until_accepted("x", at=2) == first
+    check_history(cluster, {"x": 1, "y": 2})
+
+
+def test_a_promise_holds_after_a_restart(tmp_path: Path) -> None:
+    cluster = Cluster(tmp_path)
+    cluster.carry_out(cluster.hosts[0], cluster.replica(0).submit(0.0, Change("x", "{}")))
+    cluster.turn()
+    promised = cluster.replica(1).promised[1]
+    cluster.hosts[1].stop()
+    cluster.hosts[1].start()
+    assert cluster.replica(1).promised[1] == promised > 0
+
+
+# ---- the log ----
+
+RECORDS: list[Record] = [
+    PromiseRecord(1, 4),
+    AcceptRecord(1, 4, Change("x", '{"balancers":420}')),
+    ChosenRecord(1, Change("x", '{"balancers":420}')),
+]
+
+
+def test_a_torn_tail_of_any_length_is_cut_off_and_written_over(tmp_path: Path) -> None:
+    data = b"".join(map(encode, RECORDS))
+    ends = [len(b"".join(map(encode, RECORDS[:n]))) for n in range(4)]
+    for length in range(len(data) + 1):
+        path = tmp_path / str(length)
+        path.write_bytes(data[:length])
+        log = DurableLog(path)
+        whole = sum(end <= length for end in ends) - 1
+        assert log.records == RECORDS[:whole]
+        log.append([PromiseRecord(9, 9)])
+        log.close()
+        assert decode(path.read_bytes())[0] == [*RECORDS[:whole], PromiseRecord(9, 9)]
+
+
+def test_a_record_that_changed_on_the_disk_is_not_believed(tmp_path: Path) -> None:
+    data = bytearray(b"".join(map(encode, RECORDS)))
+    data[len(encode(RECORDS[0])) + 12] ^= 1
+    path = tmp_path / "log"
+    path.write_bytes(data)
+    assert DurableLog(path).records == RECORDS[:1]
+
+
+def test_what_append_returned_from_is_synced(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    order: list[str] = []
+    log = DurableLog(tmp_path / "log", order.append)
+    monkeypatch.setattr("os.fsync", lambda _: order.append("sync"))
+    log.append(RECORDS)
+    assert order == [
+        "before the write",
+        "in the middle of the write",
+        "before the sync",
+        "sync",
+        "after the sync",
+    ]
