--- /dev/null
+++ b/emulator/slopes/client.py
@@ -0,0 +1,220 @@
+"""Clients on loopback: an open-loop stream of requests, and pings of `/ready`."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import cast
+
+import httptools
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from emulator.slopes.deployment import CLIENT_PATIENCE_MS, class_name, idempotency, quantile, tenant_name
+from emulator.slopes.sizes import Scale
+
+Address = tuple[str, int]
+
+LONGEST_US = 60_000_000  # that the histogram can tell
+DIGITS = 3
+BODY = b"x" * 200
+SETTLE_SECONDS = 1.5  # after the last request, for its answer to come
+Done = Callable[[int, bytes], None]  # status and body; status 0: the connection broke
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection with one request at a time."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = b""
+        self.done: Done | None = None
+
+    def ask(self, message: bytes, done: Done) -> None:
+        """Send a request; `done` is called once."""
+        assert self.transport is not None
+        self.done = done
+        self.transport.write(message)
+
+    def usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        return self.transport is not None and not self.transport.is_closing() and self.done is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the loop."""
+        self.transport = None
+        self._finish(0)
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the loop."""
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        """Called by the parser."""
+        self.body = b""
+
+    def on_body(self, data: bytes) -> None:
+        """Called by the parser."""
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Called by the parser."""
+        if not self.parser.should_keep_alive() and self.transport is not None:
+            self.transport.close()
+        self._finish(self.parser.get_status_code())
+
+    def _finish(self, status: int) -> None:
+        done, self.done = self.done, None
+        if done is not None:
+            done(status, self.body)
+
+
+async def connect(address: Address) -> ClientConnection:
+    """A new connection."""
+    _, connection = await asyncio.get_running_loop().create_connection(ClientConnection, *address)
+    return connection
+
+
+def request_message(rid: str, klass: int, tenant: int) -> bytes:
+    """A client's request as the protocol wants it: the class decides method and key."""
+    kind = idempotency(klass)
+    method, body = ("GET", b"") if kind == "pure" else ("POST", BODY)
+    lines = [
+        f"{method} /api HTTP/1.1",
+        "Host: backend.local",
+        f"X-Request-Id: {rid}",
+        f"X-Class: {class_name(klass)}",
+        f"X-Tenant: {tenant_name(tenant)}",
+        f"X-Deadline-Ms: {CLIENT_PATIENCE_MS}",
+    ]
+    if kind == "token":
+        lines.append(f"Idempotency-Key: key-{rid}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class OpenLoopClient:
+    """Sends at random times whatever comes back, and keeps what each answer took beyond the service.
+
+    The added time runs from the sending to the answer's last byte, less what the photo server says that
+    it held the request: what is left is the balancer, the network and this process.
+    """
+
+    def __init__(self, targets: list[Address], scale: Scale, seed: int) -> None:
+        self.targets = targets
+        self.scale = scale
+        self.random = Random(seed)
+        self.idle: dict[Address, list[ClientConnection]] = {target: [] for target in targets}
+        self.added = HdrHistogram(1, LONGEST_US, DIGITS)
+        self.statuses: Counter[int] = Counter()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.sent = 0
+
+    def reset(self) -> None:
+        """Forget what was recorded, as after a warm-up."""
+        self.added.reset()
+        self.statuses.clear()
+        self.sent = 0
+
+    async def run(self, seconds: float) -> None:
+        """Send for so long, then wait a little for the last answers."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        due = loop.time()
+        while True:
+            due += quantile(self.random.random(), 1 / self.scale.requests)
+            if due >= end:
+                return
+            await asyncio.sleep(due - loop.time())
+            task = loop.create_task(self._ask())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def settle(self) -> None:
+        """Wait for the answers that are still out; those that do not come are given up."""
+        if self.tasks:
+            _, late = await asyncio.wait(self.tasks, timeout=SETTLE_SECONDS)
+            for task in late:
+                task.cancel()
+
+    def close(self) -> None:
+        """Close the connections that are idle."""
+        for connection in (one for idle in self.idle.values() for one in idle):
+            if connection.transport is not None:
+                connection.transport.close()
+
+    async def _ask(self) -> None:
+        target = self.random.choice(self.targets)
+        rid = f"{self.random.getrandbits(64):016x}"
+        message = request_message(
+            rid, self.random.randrange(self.scale.services), self.random.randrange(self.scale.tenants)
+        )
+        self.sent += 1
+        began = time.monotonic_ns()
+        idle = self.idle[target]
+        connection = idle.pop() if idle else None
+        if connection is None or not connection.usable():
+            try:
+                connection = await connect(target)
+            except OSError:
+                self.statuses[0] += 1
+                return
+        ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        connection.ask(message, lambda status, body: self._ended(began, ended, status, body))
+        await ended
+        if connection.usable():
+            idle.append(connection)
+
+    def _ended(self, began: int, ended: asyncio.Future[None], status: int, body: bytes) -> None:
+        self.statuses[status] += 1
+        if status == 200:
+            added = time.monotonic_ns() - began - int(body)
+            self.added.record_value(max(1, added // 1_000))
+        if not ended.done():
+            ended.set_result(None)
+
+
+PING = b"GET /ready HTTP/1.1\r\nHost: backend.local\r\n\r\n"
+PING_PAUSE = 0.001  # seconds between an answer and the next ping
+
+
+class Pinger:
+    """Asks for `/ready` again and again on one connection, and keeps the longest wait for an answer."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.longest = 0.0  # seconds
+        self.connection: ClientConnection | None = None
+
+    async def ping(self) -> int:
+        """One ping; its status, or 0 where nothing answers."""
+        loop = asyncio.get_running_loop()
+        if self.connection is None or not self.connection.usable():
+            try:
+                self.connection = await connect(self.address)
+            except OSError:
+                return 0
+        status: asyncio.Future[int] = loop.create_future()
+        began = loop.time()
+        self.connection.ask(PING, lambda code, _: None if status.done() else status.set_result(code))
+        code = await status
+        self.longest = max(self.longest, time.monotonic() - began)
+        return code
+
+    async def run(self, seconds: float) -> float:
+        """Ping for so long; the longest wait within it."""
+        loop = asyncio.get_running_loop()
+        self.longest = 0.0
+        end = loop.time() + seconds
+        while loop.time() < end:
+            await self.ping()
+            await asyncio.sleep(PING_PAUSE)
+        return self.longest
--- /dev/null
+++ b/emulator/slopes/report.py
@@ -0,0 +1,123 @@
+"""What a run leaves: JSON lines and plots in a folder, and a table on the terminal."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+
+import matplotlib
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from emulator.slopes.fit import Slope
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402 - after the choice of a backend that needs no display
+
+ROWS_FILE = "slopes.jsonl"
+NOTHING = 1e-9
+PLOT_COLUMNS = 3
+PLOT_SIZE = 4.6  # inches, of one axis
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One measure along one axis; a row of a single size states a point alone."""
+
+    role: str
+    measure: str
+    unit: str
+    axis: str
+    sizes: list[float]
+    values: list[float]
+    exponent: Slope | None  # on logarithmic axes
+    linear: Slope | None  # units of the measure for each unit of size
+    bar: str | None = None
+    passed: bool | None = None
+
+
+def write_rows(rows: Iterable[Row], folder: Path) -> None:
+    """One JSON line for each row."""
+    encoded = [msgspec.json.encode(row) + b"\n" for row in rows]
+    (folder / ROWS_FILE).write_bytes(b"".join(encoded))
+
+
+def shown(value: float) -> str:
+    """A figure with four significant digits; what is left of rounding alone is 0."""
+    if abs(value) < NOTHING:
+        return "0"
+    return f"{value:,.0f}" if abs(value) >= 10_000 else f"{value:.4g}"
+
+
+def _shown_slope(slope: Slope | None) -> str:
+    if slope is None:
+        return "-"
+    return shown(slope.value) if slope.error is None else f"{shown(slope.value)} ± {shown(slope.error)}"
+
+
+def _cells(row: Row) -> tuple[str, ...]:
+    verdict = {None: "", True: "pass", False: "MISSED"}[row.passed]
+    return (
+        row.role,
+        row.measure,
+        row.unit,
+        row.axis,
+        " ".join(shown(size) for size in row.sizes),
+        " ".join(shown(value) for value in row.values),
+        _shown_slope(row.exponent),
+        _shown_slope(row.linear),
+        f"{row.bar}: {verdict}" if row.bar else "",
+    )
+
+
+COLUMNS = ("role", "measure", "unit", "axis", "sizes", "values", "exponent", "linear", "bar")
+
+
+def print_rows(rows: Sequence[Row], console: Console) -> None:
+    """A table where a person watches, else one tab-separated line for each row."""
+    if not console.is_terminal:
+        for cells in (COLUMNS, *map(_cells, rows)):
+            print("\t".join(cells), file=console.file)
+        return
+    table = Table(*COLUMNS, title="slopes")
+    for row in rows:
+        table.add_row(*_cells(row), style="red" if row.passed is False else None)
+    console.print(table)
+
+
+def plot(rows: Sequence[Row], folder: Path) -> list[Path]:
+    """One figure for each role with a part for each axis: growth of its measures from the smallest size."""
+    plotted = [row for row in rows if len(row.sizes) > 1 and min(row.values) > 0]
+    return [
+        _plot_role(role, [row for row in plotted if row.role == role], folder)
+        for role in dict.fromkeys(row.role for row in plotted)
+    ]
+
+
+def _plot_role(role: str, rows: Sequence[Row], folder: Path) -> Path:
+    axes = list(dict.fromkeys(row.axis for row in rows))
+    columns = min(PLOT_COLUMNS, len(axes))
+    height = math.ceil(len(axes) / columns)
+    figure, grid = pyplot.subplots(
+        height,
+        columns,
+        squeeze=False,
+        figsize=(PLOT_SIZE * columns, PLOT_SIZE * height),
+        layout="constrained",
+    )
+    for part in grid.flat[len(axes) :]:
+        part.set_visible(False)
+    for part, axis in zip(grid.flat, axes, strict=False):
+        part.set(xscale="log", yscale="log", xlabel=axis, ylabel="times the value at the smallest size")
+        for row in rows:
+            if row.axis == axis:
+                growth = [value / row.values[0] for value in row.values]
+                part.plot(row.sizes, growth, marker="o", label=row.measure)
+        part.legend(fontsize="xx-small")
+        part.grid(True, alpha=0.3)
+    figure.suptitle(role)
+    path = folder / f"slopes-{role}.png"
+    figure.savefig(path)
+    pyplot.close(figure)
+    return path
--- /dev/null
+++ b/emulator/slopes/rig.py
@@ -0,0 +1,307 @@
+"""The process around one real balancer: it starts it, stands in for all others and measures it.
+
+Stand-ins and clients run here, so that none of their processor time is the balancer's. The job comes as one
+JSON line on standard input and the result leaves as one on standard output; when standard input ends, the
+balancer is stopped and this process ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+
+import msgspec
+import psutil
+import uvloop
+
+from emulator.slopes.client import Address, OpenLoopClient, Pinger
+from emulator.slopes.deployment import DiscoveryMode, server_host, settings_object
+from emulator.slopes.sizes import Scale
+from emulator.slopes.standins import LOCALHOST, Agent, start_agent, start_photo_servers
+
+PROJECT = Path(__file__).resolve().parents[2]
+READY_SECONDS = 40.0  # until a balancer has to be ready
+STOP_SECONDS = 5.0  # from SIGTERM to SIGKILL
+SETTLE_SECONDS = 0.7  # after ready, before it counts as idle
+WARM_SECONDS = 1.5  # of load before it is measured
+CHANGE_SECONDS = 0.5  # for one change to be told and the next call to come
+PINGS_BEFORE = 0.2  # seconds of pings before the list is told
+PINGS_AFTER = 1.0
+DIRECT_SERVERS = 10  # that the client without the balancer asks
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+
+
+class Job(msgspec.Struct, frozen=True):
+    """What to measure; a phase of 0 is left out."""
+
+    scale: Scale
+    seed: int
+    idle_seconds: float = 0.0
+    load_seconds: float = 0.0
+    first_list: bool = False
+
+
+class Idle(msgspec.Struct, frozen=True):
+    """A balancer with no requests."""
+
+    cpu_share: float  # of one core
+    resident: int  # bytes
+    log_per_s: float
+    control_in_per_s: float  # bytes from the agent
+    control_out_per_s: float  # bytes to the agent
+    change_bytes: int  # that one change brings about, both ways
+
+
+class Added(msgspec.Struct, frozen=True):
+    """What a stream of requests took beyond the photo servers' own time, in milliseconds."""
+
+    p50: float
+    p99: float
+    sent: int
+    served: int
+
+
+class Load(msgspec.Struct, frozen=True):
+    """A balancer under load, and the same stream straight to the photo servers meanwhile."""
+
+    cpu_share: float
+    resident: int
+    log_per_s: float
+    balanced: Added
+    direct: Added
+
+
+class FirstList(msgspec.Struct, frozen=True):
+    """Longest wait for an answer to `/ready`, in milliseconds."""
+
+    before: float  # the list was told: the rig's own share
+    during: float
+
+
+class Result(msgspec.Struct, frozen=True):
+    """What was measured."""
+
+    idle: Idle | None = None
+    load: Load | None = None
+    first_list: FirstList | None = None
+
+
+class BalancerProcess:
+    """The real program, as the deployment runs it."""
+
+    def __init__(self, process: asyncio.subprocess.Process, address: Address, log: Path) -> None:
+        self.process = process
+        self.address = address
+        self.log = log
+        self.handle = psutil.Process(process.pid)
+
+    def _tree(self) -> list[psutil.Process]:
+        return [self.handle, *self.handle.children(recursive=True)]
+
+    def cpu_seconds(self) -> float:
+        """Processor time of the program since its start, with all processes that it started."""
+        times = [one.cpu_times() for one in self._tree()]
+        return sum(t.user + t.system for t in times)
+
+    def resident(self) -> int:
+        """Bytes resident, of all its processes."""
+        return sum(int(one.memory_info().rss) for one in self._tree())
+
+    def log_size(self) -> int:
+        """Bytes that it has written to standard output and error."""
+        return self.log.stat().st_size
+
+    async def wait_ready(self) -> None:
+        """Until `/ready` answers 200."""
+        pinger = Pinger(self.address)
+        async with asyncio.timeout(READY_SECONDS):
+            while await pinger.ping() != 200:
+                if self.process.returncode is not None:
+                    raise RuntimeError(f"the balancer ended: {self.log.read_text()[-500:]}")
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """SIGTERM, and SIGKILL if it does not end."""
+        if self.process.returncode is not None:
+            return
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), STOP_SECONDS)
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+
+def free_port() -> int:
+    """A port that was free on loopback a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((LOCALHOST, 0))
+        return int(probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def running_balancer(job: Job, mode: DiscoveryMode, agent_port: int) -> AsyncIterator[BalancerProcess]:
+    """Start the program with its configuration, and stop it in the end."""
+    with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
+        address = (LOCALHOST, free_port())
+        config, log = Path(folder, "config.json"), Path(folder, "log")
+        listen, discovery = f"{LOCALHOST}:{address[1]}", f"{LOCALHOST}:{agent_port}"
+        configuration = {
+            "name": "n0",
+            "listen": listen,
+            "discovery": discovery,
+            "seed": f"{job.seed:016x}",
+            "limits": LIMITS,
+            "settings": settings_object(job.scale, mode),
+        }
+        config.write_bytes(msgspec.json.encode(configuration))
+        environment = {
+            **os.environ,
+            "NODE_NAME": "n0",
+            "NODE_LISTEN": listen,
+            "NODE_DISCOVERY": discovery,
+            "NODE_CONFIG": str(config),
+        }
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "dykeshift.node",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=environment,
+                cwd=PROJECT,
+            )
+        balancer = BalancerProcess(process, address, log)
+        try:
+            yield balancer
+        finally:
+            await balancer.stop()
+
+
+async def measure_idle(job: Job, balancer: BalancerProcess, agent: Agent) -> Idle:
+    """Leave it alone for a while, then tell one change."""
+    await asyncio.sleep(SETTLE_SECONDS)
+    cpu, log = balancer.cpu_seconds(), balancer.log_size()
+    control_in, control_out = agent.bytes_out, agent.bytes_in
+    await asyncio.sleep(job.idle_seconds)
+    cpu, log = balancer.cpu_seconds() - cpu, balancer.log_size() - log
+    control_in, control_out = agent.bytes_out - control_in, agent.bytes_in - control_out
+    resident = balancer.resident()
+    before = agent.bytes_in + agent.bytes_out
+    agent.publish(job.scale.servers // 2, "leaving")
+    await asyncio.sleep(CHANGE_SECONDS)
+    return Idle(
+        cpu_share=cpu / job.idle_seconds,
+        resident=resident,
+        log_per_s=log / job.idle_seconds,
+        control_in_per_s=control_in / job.idle_seconds,
+        control_out_per_s=control_out / job.idle_seconds,
+        change_bytes=agent.bytes_in + agent.bytes_out - before,
+    )
+
+
+def _added(client: OpenLoopClient) -> Added:
+    return Added(
+        p50=client.added.get_value_at_percentile(50) / 1e3,
+        p99=client.added.get_value_at_percentile(99) / 1e3,
+        sent=client.sent,
+        served=client.statuses[200],
+    )
+
+
+async def measure_load(job: Job, balancer: BalancerProcess, server_port: int) -> Load:
+    """Two like streams at once: one through the balancer, one straight to some of the servers."""
+    direct_targets = [(server_host(n), server_port) for n in range(min(DIRECT_SERVERS, job.scale.servers))]
+    balanced = OpenLoopClient([balancer.address], job.scale, job.seed)
+    direct = OpenLoopClient(direct_targets, job.scale, job.seed + 1)
+    streams = (balanced, direct)
+    await asyncio.gather(*(stream.run(WARM_SECONDS) for stream in streams))
+    await asyncio.gather(*(stream.settle() for stream in streams))
+    for stream in streams:
+        stream.reset()
+    cpu, log = balancer.cpu_seconds(), balancer.log_size()
+    await asyncio.gather(*(stream.run(job.load_seconds) for stream in streams))
+    cpu, log = balancer.cpu_seconds() - cpu, balancer.log_size() - log
+    await asyncio.gather(*(stream.settle() for stream in streams))
+    for stream in streams:
+        stream.close()
+    return Load(
+        cpu_share=cpu / job.load_seconds,
+        resident=balancer.resident(),
+        log_per_s=log / job.load_seconds,
+        balanced=_added(balanced),
+        direct=_added(direct),
+    )
+
+
+async def measure_steady(job: Job) -> Result:
+    """Start a balancer that is told its list, and measure it idle and under load."""
+    server_port = await start_photo_servers(job.scale.servers)
+    agent = Agent(job.scale.servers, server_port)
+    agent_port = await start_agent(agent)
+    async with running_balancer(job, DiscoveryMode.PUSH, agent_port) as balancer:
+        await balancer.wait_ready()
+        idle = await measure_idle(job, balancer, agent) if job.idle_seconds else None
+        load = await measure_load(job, balancer, server_port) if job.load_seconds else None
+        return Result(idle=idle, load=load)
+
+
+async def measure_first_list(job: Job) -> Result:
+    """Ping a balancer that has no list yet, tell it the list, and ping on.
+
+    Lists are asked for here: where they are pushed, a balancer listens only once it has one.
+    """
+    server_port = await start_photo_servers(1)  # nothing is sent to them
+    agent = Agent(job.scale.servers, server_port)
+    agent.silent = True
+    agent_port = await start_agent(agent)
+    async with running_balancer(job, DiscoveryMode.ASK, agent_port) as balancer:
+        pinger = Pinger(balancer.address)
+        async with asyncio.timeout(READY_SECONDS):
+            while not (await pinger.ping() and agent.waiting):
+                await asyncio.sleep(0.005)
+        before = await pinger.run(PINGS_BEFORE)
+        agent.release()
+        during = await pinger.run(PINGS_AFTER)
+        while await pinger.ping() != 200:  # the list is taken over in the end
+            await asyncio.sleep(0.005)
+        return Result(first_list=FirstList(before * 1e3, max(during, pinger.longest) * 1e3))
+
+
+async def run_job(job: Job) -> Result:
+    """Measure until done, or until standard input ends."""
+    loop = asyncio.get_running_loop()
+    work = asyncio.ensure_future(measure_first_list(job) if job.first_list else measure_steady(job))
+
+    def input_ended() -> None:
+        loop.remove_reader(
+            sys.stdin.fileno()
+        )  # cancelled once: the balancer's stop must not be cancelled too
+        work.cancel()
+
+    loop.add_reader(sys.stdin.fileno(), input_ended)
+    return await work
+
+
+def main() -> int:
+    """One job, one result; exit code 3 if standard input ended first."""
+    job: Job = msgspec.json.decode(sys.stdin.buffer.readline(), type=Job)
+    with suppress(asyncio.CancelledError):
+        result = uvloop.run(run_job(job))
+        sys.stdout.buffer.write(msgspec.json.encode(result) + b"\n")
+        sys.stdout.buffer.flush()
+        return 0
+    return 3
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/emulator/slopes/roles.py
@@ -0,0 +1,47 @@
+"""What a role is to the command: a name, its axes, and one measurement at a given scale."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from emulator.slopes.sizes import Axis, Scale
+
+
+class MeasurementError(Exception):
+    """A point could not be measured; its text is one line for people."""
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """One measured value."""
+
+    measure: str
+    unit: str
+    value: float
+
+
+class Effort(msgspec.Struct, frozen=True):
+    """How long and how often each point is measured."""
+
+    repeats: int  # of each timed block; the best counts
+    idle_seconds: float
+    load_seconds: float
+    bar_load_seconds: float  # at the scales that bars stand on
+    starts: int  # of the program, where the best of several counts
+
+
+FULL = Effort(repeats=7, idle_seconds=3.0, load_seconds=4.0, bar_load_seconds=16.0, starts=3)
+QUICK = Effort(repeats=3, idle_seconds=1.5, load_seconds=2.0, bar_load_seconds=3.0, starts=1)
+
+Measure = Callable[[Scale, Effort, int], list[Figure]]  # scale, effort, seed
+
+
+class Role(msgspec.Struct, frozen=True):
+    """A part of the deployment that is measured by itself."""
+
+    name: str
+    about: str
+    axes: tuple[Axis, ...]
+    quick_axes: tuple[Axis, ...]  # of a quick run that names no axis
+    measure: Measure
--- /dev/null
+++ b/tests/emulator/test_slopes.py
@@ -0,0 +1,211 @@
+"""The slopes command: its fit, counts, bars and calls, and what an interrupt leaves."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import numpy as np
+import psutil
+import pytest
+from click.testing import CliRunner
+
+from emulator.cli import main
+from emulator.slopes import campaign as campaign_module
+from emulator.slopes import discovery_role, module_role, server_role
+from emulator.slopes.bars import BARS, Bar, judge
+from emulator.slopes.campaign import Campaign, Plan
+from emulator.slopes.counting import count_lines, held
+from emulator.slopes.fit import exponent, least_squares
+from emulator.slopes.report import ROWS_FILE, Row, plot
+from emulator.slopes.roles import QUICK, Effort, Figure
+from emulator.slopes.sizes import BASE, TARGET, Axis, Scale, points_of
+
+TINY = msgspec.structs.replace(BASE, servers=20, tenants=5, services=3, balancers=2)
+TIMES = ("ms", "us")  # units of what differs from run to run
+
+
+def counted(figures: list[Figure]) -> list[Figure]:
+    return [figure for figure in figures if figure.unit not in TIMES]
+
+
+def test_fit_recovers_known_slopes() -> None:
+    x = [1.0, 2.0, 4.0, 8.0, 16.0]
+    line = least_squares(x, [3.0 + 2.0 * one for one in x])
+    assert line is not None and line.error is not None
+    assert line.value == pytest.approx(2.0) and line.error == pytest.approx(0.0, abs=1e-9)
+    power = exponent(x, [5.0 * one**1.5 for one in x])
+    assert power is not None and power.value == pytest.approx(1.5)
+
+
+def test_fit_states_the_error_that_numpy_states() -> None:
+    x, y = [1.0, 2.0, 3.0, 4.0, 5.0], [1.1, 1.9, 3.2, 3.7, 5.4]
+    coefficients, covariance = np.polyfit(x, y, 1, cov=True)
+    slope = least_squares(x, y)
+    assert slope is not None and slope.value == pytest.approx(coefficients[0])
+    assert slope.error == pytest.approx(covariance[0, 0] ** 0.5)
+
+
+def test_fit_of_too_few_or_unfit_points_claims_nothing() -> None:
+    assert least_squares([3.0], [1.0]) is None
+    assert least_squares([3.0, 3.0], [1.0, 2.0]) is None
+    assert exponent([1.0, 2.0], [0.0, 2.0]) is None
+    two = least_squares([1.0, 2.0], [1.0, 3.0])
+    assert two is not None and two.error is None
+
+
+def test_all_axes_reach_the_target_from_five_sizes() -> None:
+    for axis in Axis:
+        points = points_of(axis)
+        assert len(points) >= 5 and len(points_of(axis, quick=True)) == 3
+        largest = points[-1].scale
+        assert largest == TARGET if axis is Axis.FLEET else points[-1].size == getattr(TARGET, axis.value)
+
+
+def test_counts_only_the_balancer_s_lines_and_restores_the_tracer() -> None:
+    before = sys.gettrace()
+    assert count_lines(lambda: sum(range(5))) == 0
+    assert sys.gettrace() is before
+
+
+def test_held_counts_shared_objects_once() -> None:
+    shared = [1000, 2000]
+    assert held([shared, shared]).objects == 4
+    assert held([shared, [1000, 3000]]).objects > 4
+
+
+@pytest.mark.parametrize("role", [module_role, discovery_role, server_role], ids=lambda r: r.ROLE.name)
+def test_counts_are_the_same_in_two_runs_of_one_seed(role: object) -> None:
+    measure = role.ROLE.measure  # type: ignore[attr-defined]
+    first, second = measure(TINY, QUICK, 7), measure(TINY, QUICK, 7)
+    assert counted(first) == counted(second)
+    assert len(counted(first)) >= 4 and all(figure.value > 0 for figure in first)
+
+
+def run(*arguments: str) -> tuple[int, str, str]:
+    result = CliRunner().invoke(main, ["slopes", *arguments])
+    return result.exit_code, result.stdout, result.stderr
+
+
+@pytest.mark.parametrize(
+    ("arguments", "named"),
+    [
+        (("--role", "nonsense"), "nonsense"),
+        (("--axis", "nonsense"), "nonsense"),
+        (("--seed", "nonsense"), "nonsense"),
+        (("--nonsense",), "nonsense"),
+        (("--role", "first-list", "--axis", "tenants", "--no-bars"), "axes"),
+        (("--out", "/dev/null/folder"), "/dev/null/folder"),
+    ],
+)
+def test_bad_calls_give_one_line_and_start_nothing(
+    arguments: tuple[str, ...], named: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Campaign, "measure", lambda *_: pytest.fail("something was measured"))
+    code, out, err = run(*arguments)
+    assert (code, out) == (2, "")
+    assert named in err and err.count("\n") == 1
+
+
+def fixed_role(monkeypatch: pytest.MonkeyPatch, value: float) -> None:
+    def measure(scale: Scale, _: Effort, __: int) -> list[Figure]:
+        return [Figure("first list, longest wait for /ready", "ms", value * scale.servers / 6_400)]
+
+    role = msgspec.structs.replace(campaign_module.ROLES["first-list"], measure=measure)
+    monkeypatch.setitem(campaign_module.ROLES, "first-list", role)
+
+
+def test_a_missed_bar_gives_exit_1_and_one_line(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    fixed_role(monkeypatch, 20.1)
+    code, out, err = run("--role", "first-list", "--out", str(tmp_path))
+    assert code == 1
+    measured = "first list, longest wait for /ready: 20.1 ms"
+    assert err == f"missed: first-list: {measured}; bar: holds the loop at most 20 ms\n"
+    assert "MISSED" in out
+
+
+def test_kept_bars_give_exit_0_rows_and_a_plot(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    fixed_role(monkeypatch, 20.0)
+    code, _, err = run("--role", "first-list", "--out", str(tmp_path))
+    assert (code, err) == (0, "")
+    rows = [json.loads(line) for line in (tmp_path / ROWS_FILE).read_text().splitlines()]
+    assert [row["axis"] for row in rows] == ["servers", "bar"]
+    assert rows[0]["sizes"] == [100, 400, 1_000, 2_500, 6_400]
+    assert rows[0]["exponent"]["value"] == pytest.approx(1.0) and rows[1]["passed"] is True
+    assert (tmp_path / "slopes-first-list.png").read_bytes().startswith(b"\x89PNG")
+
+
+def test_without_bars_nothing_is_judged(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    fixed_role(monkeypatch, 500.0)
+    code, out, _ = run("--role", "first-list", "--no-bars", "--out", str(tmp_path))
+    assert code == 0 and "MISSED" not in out
+
+
+def test_a_ratio_bar_passes_by_its_ratio_or_by_being_small_enough() -> None:
+    bar = Bar("module", "m", "text", limit=1.5, reference=BASE, enough=1.0)
+
+    def judged(reference: float, value: float) -> bool | None:
+        row = judge(bar, lambda _, __, scale: Figure("m", "ms", reference if scale is BASE else value))
+        assert row is not None
+        return row.passed
+
+    assert judged(2.0, 3.0) and not judged(2.0, 3.1) and judged(0.1, 0.9)
+    assert judge(bar, lambda *_: None) is None
+
+
+def test_every_bar_names_a_measure_of_its_role() -> None:
+    names = {figure.measure for figure in module_role.measure(TINY, QUICK, 1)}
+    assert {bar.measure for bar in BARS if bar.role == "module"} <= names
+
+
+def test_rows_of_zeros_are_not_plotted(tmp_path: Path) -> None:
+    row = Row("r", "m", "u", "servers", [1.0, 2.0], [0.0, 0.0], None, None)
+    assert plot([row], tmp_path) == []
+
+
+def test_a_campaign_measures_shared_points_once() -> None:
+    tasks = Campaign(Plan(("balancer-idle",), (), quick=False, bars=True, seed=1)).tasks()
+    assert len(tasks) == len(set(tasks))
+    assert sum(task.scale == BASE for task in tasks) == 1
+    assert sum(task.scale == TARGET for task in tasks) == 1
+
+
+def children_of(pid: int) -> list[psutil.Process]:
+    return psutil.Process(pid).children(recursive=True)
+
+
+def await_balancer(pid: int) -> list[psutil.Process]:
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        found = children_of(pid)
+        if any("dykeshift.node" in " ".join(one.cmdline()) for one in found):
+            return found
+        time.sleep(0.02)
+    raise AssertionError("no balancer was started")
+
+
+def test_sigint_ends_all_children_and_keeps_what_was_measured(tmp_path: Path) -> None:
+    arguments = ["--role", "discovery", "--role", "first-list", "--axis", "servers", "--no-bars", "--quick"]
+    process = subprocess.Popen(
+        [sys.executable, "-m", "emulator", "slopes", *arguments, "--out", str(tmp_path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        cwd=Path(__file__).parents[2],
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    try:
+        children = await_balancer(process.pid)
+        process.send_signal(signal.SIGINT)
+        _, err = process.communicate(timeout=20)
+    finally:
+        process.kill()
+    assert process.returncode == 130 and b"interrupted" in err and b"Traceback" not in err
+    assert not any(child.is_running() for child in children)
+    rows = [json.loads(line) for line in (tmp_path / ROWS_FILE).read_text().splitlines()]
+    assert {row["role"] for row in rows} == {"discovery"}
