Count the module's work on an instance that no timing has touched

How often a block was timed depended on the machine, and what was counted after it with it. Counts and times now come from instances of their own.

--- a/emulator/slopes/command.py
+++ b/emulator/slopes/command.py
@@ -14,7 +14,7 @@
 from emulator.errors import EXIT_BAR_FAILED, BadInputError
 from emulator.slopes.bars import missed_line
 from emulator.slopes.campaign import ROLES, Campaign, Plan
-from emulator.slopes.report import plot, print_rows, write_rows
+from emulator.slopes.report import Row, print_rows, write_rows
 from emulator.slopes.sizes import AXIS_TITLES, BASE, TARGET, Axis
 
 EXIT_INTERRUPTED = 130
@@ -93,6 +93,12 @@
     return True
 
 
+def _plot(rows: list[Row], folder: Path) -> None:
+    from emulator.slopes.plots import plot  # only now: bad calls and --help need no matplotlib
+
+    plot(rows, folder)
+
+
 @click.command(cls=PlainCommand, help=HELP)
 @click.option("--role", "roles", multiple=True, type=click.Choice(list(ROLES)), help="Only this role.")
 @click.option(
@@ -127,7 +133,7 @@
     rows = campaign.rows()
     write_rows(rows, folder)
     print_rows(rows, Console())
-    plot(rows, folder)
+    _plot(rows, folder)
     click.echo(f"written to {folder}")
     complaints = [missed_line(row) for row in rows if row.passed is False] + campaign.failures
     for line in complaints:
--- a/emulator/slopes/module_role.py
+++ b/emulator/slopes/module_role.py
@@ -1,191 +1,116 @@
-"""The decision module in this process: work, time and state at a given scale, on a clock of its own."""
+"""The decision module in this process: work, time and state at a given scale, on a clock of its own.
+
+Counts and times come from instances of their own: how often a block is timed may depend on the machine, and
+must not change what is counted.
+"""
 
 from __future__ import annotations
 
 import gc
-import heapq
 import time
 from collections.abc import Callable
-from random import Random
 
-from dykeshift.interface import Action, AttemptEnd, ListKind, Log, Outcome, Request, Send
-from dykeshift.interface import ServerList, ServerState, SetTimer
-from dykeshift.rules import Balancer
-from dykeshift.settings import parse_settings
+from dykeshift.interface import ServerState
 from emulator.slopes.counting import count_lines, held
-from emulator.slopes.deployment import CLIENT_PATIENCE_MS, MILLISECOND, SECOND, server_entry, settings_object
+from emulator.slopes.deployment import SECOND
+from emulator.slopes.module_host import ModuleHost
 from emulator.slopes.roles import Effort, Figure, Role
 from emulator.slopes.sizes import Axis, Scale
 
-START = 100 * SECOND  # of the module's clock
-SERVICE_TIME = 20 * MILLISECOND  # of every attempt
 WARM_REQUESTS = 400  # before anything is measured: servers are known and running means have settled
 TIMED_REQUESTS = 200  # in one timed block
-LEAST_REPEATS = 3
-LONGEST_NS = 2_000_000_000  # of processor time in the repeats of one block: no further one is begun
 COUNTED_REQUESTS = 50
 IDLE_SECONDS = 8  # of the module's clock, over which timers and log are counted
+LEAST_REPEATS = 3
+LONGEST_NS = 2_000_000_000  # of processor time in the repeats of one block: no further one is begun
 
 
-class ModuleHost:
-    """Plays requests, timers and lists to one instance of the module; every attempt ends well."""
-
-    def __init__(self, scale: Scale, seed: int, me: int = 0) -> None:
-        self.scale = scale
-        self.random = Random(seed)
-        self.now = START
-        self.balancer = Balancer(parse_settings(settings_object(scale, me=me)), seed)
-        self.timers: list[tuple[int, str]] = []
-        self.log_bytes = 0
-        self.requests = 0
-        self.longest_timer = 0  # nanoseconds of processor time in one timer's call
-        self.attempts: dict[int, int] = {}  # by server
-        self._take(self.balancer.on_start(self.now))
-        self.whole = ServerList(ListKind.FULL, tuple(server_entry(n) for n in range(scale.servers)))
-
-    def load_list(self) -> None:
-        """Tell the whole list of servers."""
-        self._take(self.balancer.on_list(self.now, self.whole))
-
-    def change_one(self, state: ServerState) -> None:
-        """Tell that one server is in a new state."""
-        changed = server_entry(self.scale.servers // 2, state)
-        self._take(self.balancer.on_list(self.now, ServerList(ListKind.DELTA, (changed,))))
-
-    def serve(self, requests: int) -> None:
-        """Play requests at the scale's rate, one after another, each answered before the next."""
-        gap = SECOND // self.scale.requests
-        for _ in range(requests):
-            self.advance(self.now + max(0, gap - SERVICE_TIME))
-            self.serve_one()
-
-    def serve_one(self) -> None:
-        """One request with its outcome: the first attempt is answered, and copies of it are cancelled."""
-        self.requests += 1
-        name = f"r{self.requests}"
-        request = Request(
-            id=name,
-            klass=self.random.randrange(self.scale.services),
-            deadline=self.now + CLIENT_PATIENCE_MS * MILLISECOND,
-            tenant=self.random.randrange(self.scale.tenants),
-        )
-        sends = [a for a in self._take(self.balancer.on_request(self.now, request)) if isinstance(a, Send)]
-        self.now += SERVICE_TIME
-        for number, send in enumerate(sends):
-            self.attempts[send.server] = self.attempts.get(send.server, 0) + 1
-            outcome = Outcome.CANCELLED if number else Outcome.OK
-            end = AttemptEnd(name, number, send.server, outcome, SERVICE_TIME, True)
-            self._take(self.balancer.on_attempt_end(self.now, end))
-
-    def advance(self, until: int) -> None:
-        """Let time pass, with the timers that come due."""
-        while self.timers and self.timers[0][0] <= until:
-            at, token = heapq.heappop(self.timers)
-            self.now = max(self.now, at)
-            began = time.thread_time_ns()
-            actions = self.balancer.on_timer(self.now, token)
-            self.longest_timer = max(self.longest_timer, time.thread_time_ns() - began)
-            self._take(actions)
-        self.now = until
-
-    def _take(self, actions: list[Action]) -> list[Action]:
-        for action in actions:
-            if isinstance(action, SetTimer):
-                heapq.heappush(self.timers, (action.at, action.token))
-            elif isinstance(action, Log):
-                self.log_bytes += len(action.text) + 1
-        return actions
+def _warm_host(scale: Scale, seed: int) -> ModuleHost:
+    host = ModuleHost(scale, seed)
+    host.load_list()
+    host.serve(WARM_REQUESTS)
+    return host
 
 
-def _best_time(work: Callable[[], object], repeats: int) -> float:
-    """Processor time of the quickest of some runs, in nanoseconds; fewer runs where they take long."""
-    times: list[int] = []
-    while len(times) < repeats and (len(times) < LEAST_REPEATS or sum(times) < LONGEST_NS):
-        began = time.thread_time_ns()
-        work()
-        times.append(time.thread_time_ns() - began)
-    return min(times)
+def _serve_without_timers(host: ModuleHost, requests: int) -> None:
+    """Requests at their rate while no timer comes due: timers are measured by themselves."""
+    for _ in range(requests):
+        host.serve_one()
+        host.now += SECOND // host.scale.requests
 
 
-def _list_figures(scale: Scale, seed: int) -> list[Figure]:
-    fresh = [ModuleHost(scale, seed) for _ in range(LEAST_REPEATS)]
-    elapsed = _best_time(lambda: fresh.pop().load_list(), len(fresh))
-    lines = count_lines(ModuleHost(scale, seed).load_list)
-    return [
-        Figure("whole list, processor time", "ms", elapsed / 1e6),
-        Figure("whole list, lines executed", "lines", lines),
-    ]
+def _drain_and_return(host: ModuleHost) -> None:
+    """Two changes of one entry."""
+    host.change_one(ServerState.DRAINING)
+    host.change_one(ServerState.READY)
 
 
-def _request_figures(host: ModuleHost, effort: Effort) -> list[Figure]:
-    def serve() -> None:
-        for _ in range(TIMED_REQUESTS):
-            host.serve_one()
-            host.now += SECOND // host.scale.requests  # no timer comes due: those are measured by themselves
+def _idle(host: ModuleHost) -> None:
+    host.longest_timer = host.log_bytes = host.timers_set = 0
+    host.advance(host.now + IDLE_SECONDS * SECOND)
 
-    def count() -> None:
-        for _ in range(COUNTED_REQUESTS):
-            host.serve_one()
 
-    elapsed = _best_time(serve, effort.repeats)
+def _counted(scale: Scale, seed: int) -> list[Figure]:
+    """What is the same in every run of one seed."""
+    list_lines = count_lines(ModuleHost(scale, seed).load_list)
+    host = _warm_host(scale, seed)
+    state = held(host.balancer)
+    change_lines = count_lines(lambda: _drain_and_return(host)) / 2
+    request_lines = count_lines(lambda: _serve_without_timers(host, COUNTED_REQUESTS)) / COUNTED_REQUESTS
+    attempts = sum(host.attempts.values()) / host.requests
+    timer_lines = count_lines(lambda: _idle(host)) / IDLE_SECONDS
     return [
-        Figure("request and outcome, processor time", "us", elapsed / TIMED_REQUESTS / 1e3),
-        Figure("request and outcome, lines executed", "lines", count_lines(count) / COUNTED_REQUESTS),
+        Figure("state, objects", "objects", state.objects),
+        Figure("state, size", "MB", state.size / 1e6),
+        Figure("whole list, lines executed", "lines", list_lines),
+        Figure("one changed entry, lines executed", "lines", change_lines),
+        Figure("a day of changes, lines executed", "lines", change_lines * scale.changes),
+        Figure("request and outcome, lines executed", "lines", request_lines),
+        Figure("request, attempts", "attempts", attempts),
+        Figure("timers, lines executed a second", "lines", timer_lines),
+        Figure("timers, set a second", "1/s", host.timers_set / IDLE_SECONDS),
+        Figure("log, bytes a second", "B/s", host.log_bytes / IDLE_SECONDS),
     ]
 
 
-def _timer_figures(host: ModuleHost, effort: Effort) -> list[Figure]:
-    longest: list[int] = []
-    log_bytes: list[int] = []
+def _best_time(work: Callable[[], object], repeats: int) -> float:
+    """Processor time of the quickest of some runs, in nanoseconds; fewer runs where they take long."""
+    times: list[int] = []
+    while len(times) < repeats and (len(times) < LEAST_REPEATS or sum(times) < LONGEST_NS):
+        began = time.thread_time_ns()
+        work()
+        times.append(time.thread_time_ns() - began)
+    return min(times)
 
-    def idle() -> None:
-        host.longest_timer = host.log_bytes = 0
-        host.advance(host.now + IDLE_SECONDS * SECOND)
-        longest.append(host.longest_timer)
-        log_bytes.append(host.log_bytes)
-
-    elapsed = _best_time(idle, effort.repeats)
-    quickest = min(longest)
-    lines = count_lines(idle)
-    return [
-        Figure("timers, longest call", "ms", quickest / 1e6),
-        Figure("timers, processor time a second", "us", elapsed / IDLE_SECONDS / 1e3),
-        Figure("timers, lines executed a second", "lines", lines / IDLE_SECONDS),
-        Figure("log, bytes a second", "B/s", log_bytes[-1] / IDLE_SECONDS),
-    ]
 
+def _timed(scale: Scale, effort: Effort, seed: int) -> list[Figure]:
+    """Processor times, each the best of several."""
+    fresh = [ModuleHost(scale, seed) for _ in range(LEAST_REPEATS)]
+    list_time = _best_time(lambda: fresh.pop().load_list(), len(fresh))
+    host = _warm_host(scale, seed)
+    change_time = _best_time(lambda: _drain_and_return(host), 3 * effort.repeats) / 2
+    request_time = _best_time(lambda: _serve_without_timers(host, TIMED_REQUESTS), effort.repeats)
+    longest_calls: list[int] = []
 
-def _change_figures(host: ModuleHost, effort: Effort) -> list[Figure]:
-    def drain_and_return() -> None:
-        host.change_one(ServerState.DRAINING)
-        host.change_one(ServerState.READY)
+    def idle() -> None:
+        _idle(host)
+        longest_calls.append(host.longest_timer)
 
-    elapsed = _best_time(drain_and_return, 3 * effort.repeats) / 2
-    lines = count_lines(drain_and_return) / 2
-    changes = host.scale.changes
+    timer_time = _best_time(idle, effort.repeats)
     return [
-        Figure("one changed entry, processor time", "us", elapsed / 1e3),
-        Figure("one changed entry, lines executed", "lines", lines),
-        Figure("a day of changes, processor time", "ms", elapsed * changes / 1e6),
-        Figure("a day of changes, lines executed", "lines", lines * changes),
+        Figure("whole list, processor time", "ms", list_time / 1e6),
+        Figure("one changed entry, processor time", "us", change_time / 1e3),
+        Figure("a day of changes, processor time", "ms", change_time * scale.changes / 1e6),
+        Figure("request and outcome, processor time", "us", request_time / TIMED_REQUESTS / 1e3),
+        Figure("timers, longest call", "ms", min(longest_calls) / 1e6),
+        Figure("timers, processor time a second", "us", timer_time / IDLE_SECONDS / 1e3),
     ]
 
 
 def measure(scale: Scale, effort: Effort, seed: int) -> list[Figure]:
     """All measures of the module at one scale."""
     gc.collect()
-    figures = _list_figures(scale, seed)
-    host = ModuleHost(scale, seed)
-    host.load_list()
-    host.serve(WARM_REQUESTS)
-    state = held(host.balancer)
-    figures += [
-        Figure("state, objects", "objects", state.objects),
-        Figure("state, size", "MB", state.size / 1e6),
-    ]
-    figures += _change_figures(host, effort)
-    figures += _request_figures(host, effort)
-    return figures + _timer_figures(host, effort)
+    return _counted(scale, seed) + _timed(scale, effort, seed)
 
 
 ROLE = Role(
--- a/emulator/slopes/process_role.py
+++ b/emulator/slopes/process_role.py
@@ -35,7 +35,10 @@
         _end(process)
     if not line:
         raise MeasurementError(f"the rig ended with code {process.returncode} and no result")
-    return msgspec.json.decode(line, type=Result)
+    result: Result = msgspec.json.decode(line, type=Result)
+    if result.error is not None:
+        raise MeasurementError(result.error)
+    return result
 
 
 def _end(process: subprocess.Popen[bytes]) -> None:
--- a/emulator/slopes/report.py
+++ b/emulator/slopes/report.py
@@ -1,25 +1,18 @@
-"""What a run leaves: JSON lines and plots in a folder, and a table on the terminal."""
+"""What a run tells: its rows as JSON lines in a folder, and as a table on the terminal."""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 
-import matplotlib
 import msgspec
 from rich.console import Console
 from rich.table import Table
 
 from emulator.slopes.fit import Slope
 
-matplotlib.use("Agg")
-from matplotlib import pyplot  # noqa: E402 - after the choice of a backend that needs no display
-
 ROWS_FILE = "slopes.jsonl"
 NOTHING = 1e-9
-PLOT_COLUMNS = 3
-PLOT_SIZE = 4.6  # inches, of one axis
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -84,40 +77,3 @@
     for row in rows:
         table.add_row(*_cells(row), style="red" if row.passed is False else None)
     console.print(table)
-
-
-def plot(rows: Sequence[Row], folder: Path) -> list[Path]:
-    """One figure for each role with a part for each axis: growth of its measures from the smallest size."""
-    plotted = [row for row in rows if len(row.sizes) > 1 and min(row.values) > 0]
-    return [
-        _plot_role(role, [row for row in plotted if row.role == role], folder)
-        for role in dict.fromkeys(row.role for row in plotted)
-    ]
-
-
-def _plot_role(role: str, rows: Sequence[Row], folder: Path) -> Path:
-    axes = list(dict.fromkeys(row.axis for row in rows))
-    columns = min(PLOT_COLUMNS, len(axes))
-    height = math.ceil(len(axes) / columns)
-    figure, grid = pyplot.subplots(
-        height,
-        columns,
-        squeeze=False,
-        figsize=(PLOT_SIZE * columns, PLOT_SIZE * height),
-        layout="constrained",
-    )
-    for part in grid.flat[len(axes) :]:
-        part.set_visible(False)
-    for part, axis in zip(grid.flat, axes, strict=False):
-        part.set(xscale="log", yscale="log", xlabel=axis, ylabel="times the value at the smallest size")
-        for row in rows:
-            if row.axis == axis:
-                growth = [value / row.values[0] for value in row.values]
-                part.plot(row.sizes, growth, marker="o", label=row.measure)
-        part.legend(fontsize="xx-small")
-        part.grid(True, alpha=0.3)
-    figure.suptitle(role)
-    path = folder / f"slopes-{role}.png"
-    figure.savefig(path)
-    pyplot.close(figure)
-    return path
--- a/emulator/slopes/server_role.py
+++ b/emulator/slopes/server_role.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from emulator.slopes.module_role import ModuleHost
+from emulator.slopes.module_host import ModuleHost
 from emulator.slopes.roles import Effort, Figure, Role
 from emulator.slopes.sizes import Axis, Scale
 
--- a/tests/emulator/test_slopes_standins.py
+++ b/tests/emulator/test_slopes_standins.py
@@ -9,12 +9,14 @@
 
 import msgspec
 import psutil
+import pytest
 import uvloop
 
+from emulator.slopes import rig
 from emulator.slopes.client import ClientConnection, OpenLoopClient, connect
 from emulator.slopes.deployment import server_host
 from emulator.slopes.process_role import run_rig
-from emulator.slopes.rig import Job
+from emulator.slopes.rig import Job, Result, RigError, result_of
 from emulator.slopes.sizes import BASE
 from emulator.slopes.standins import LOCALHOST, Agent, start_agent, start_photo_servers
 
@@ -106,6 +108,17 @@
     play(main())
 
 
+def test_a_job_that_fails_gives_its_reason_in_one_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def fail(_: Job) -> Result:
+        raise RigError("the balancer ended")
+
+    async def main() -> None:
+        assert await result_of(Job(TINY, seed=1)) == Result(error="the balancer ended")
+
+    monkeypatch.setattr(rig, "run_job", fail)
+    play(main())
+
+
 def test_the_rig_measures_a_first_list_and_leaves_no_process() -> None:
     before = set(psutil.Process().children(recursive=True))
     result = run_rig(Job(TINY, seed=1, first_list=True))
