--- a/emulator/slopes/module_role.py
+++ b/emulator/slopes/module_role.py
@@ -50,8 +50,8 @@
     host.advance(host.now + IDLE_SECONDS * SECOND)
 
 
-def _counted(scale: Scale, seed: int) -> list[Figure]:
-    """What is the same in every run of one seed."""
+def counted(scale: Scale, seed: int) -> list[Figure]:
+    """What is the same in every run of one seed, so that a test can hold its growth on any machine."""
     list_lines = count_lines(ModuleHost(scale, seed).load_list)
     host = _warm_host(scale, seed)
     state = held(host.balancer)
@@ -110,7 +110,7 @@
 def measure(scale: Scale, effort: Effort, seed: int) -> list[Figure]:
     """All measures of the module at one scale."""
     gc.collect()
-    return _counted(scale, seed) + _timed(scale, effort, seed)
+    return counted(scale, seed) + _timed(scale, effort, seed)
 
 
 ROLE = Role(
--- a/emulator/slopes/process_role.py
+++ b/emulator/slopes/process_role.py
@@ -7,6 +7,7 @@
 from functools import cache
 
 import msgspec
+import psutil
 
 from emulator.slopes.rig import PROJECT, Job, Result
 from emulator.slopes.roles import Effort, Figure, MeasurementError, Role
@@ -48,6 +49,8 @@
     try:
         process.wait(STOP_SECONDS)
     except subprocess.TimeoutExpired:
+        for child in psutil.Process(process.pid).children(recursive=True):
+            child.kill()
         process.kill()
         process.wait()
     process.stdout.close()
--- a/emulator/slopes/rig.py
+++ b/emulator/slopes/rig.py
@@ -27,6 +27,7 @@
 from emulator.slopes.standins import LOCALHOST, Agent, start_agent, start_photo_servers
 
 PROJECT = Path(__file__).resolve().parents[2]
+JOB_SECONDS = 120.0  # the longest that one job may take
 READY_SECONDS = 40.0  # until a balancer has to be ready
 STOP_SECONDS = 5.0  # from SIGTERM to SIGKILL
 SETTLE_SECONDS = 0.7  # after ready, before it counts as idle
@@ -306,9 +307,10 @@
 async def result_of(job: Job) -> Result:
     """The job's result, where it fails with the reason in one line."""
     try:
-        return await run_job(job)
+        async with asyncio.timeout(JOB_SECONDS):
+            return await run_job(job)
     except (RigError, OSError, TimeoutError, psutil.Error) as error:
-        return Result(error=str(error) or f"{type(error).__name__}: the balancer did not get ready in time")
+        return Result(error=str(error) or "the balancer did not answer in time")
 
 
 def main() -> int:
--- a/emulator/slopes/sizes.py
+++ b/emulator/slopes/sizes.py
@@ -21,6 +21,13 @@
     changes: int  # changed entries of the server list a day
     requests: int  # a second, at one balancer
 
+    def __str__(self) -> str:
+        """The sizes in words."""
+        return (
+            f"{self.servers:,} servers, {self.tenants:,} tenants, {self.services} services, "
+            f"{self.balancers} balancers, {self.changes} changes a day, {self.requests} requests a second"
+        )
+
 
 BASE = Scale(servers=100, tenants=100, services=10, balancers=42, changes=39, requests=62)
 TARGET = Scale(servers=6_400, tenants=15_000, services=110, balancers=420, changes=390, requests=62)
