--- /dev/null
+++ b/emulator/slopes/module_role.py
@@ -0,0 +1,122 @@
+"""The decision module in this process: work, time and state at a given scale, on a clock of its own.
+
+Counts and times come from instances of their own: how often a block is timed may depend on the machine, and
+must not change what is counted.
+"""
+
+from __future__ import annotations
+
+import gc
+import time
+from collections.abc import Callable
+
+from dykeshift.interface import ServerState
+from emulator.slopes.counting import count_lines, held
+from emulator.slopes.deployment import SECOND
+from emulator.slopes.module_host import ModuleHost
+from emulator.slopes.roles import Effort, Figure, Role
+from emulator.slopes.sizes import Axis, Scale
+
+WARM_REQUESTS = 400  # before anything is measured: servers are known and running means have settled
+TIMED_REQUESTS = 200  # in one timed block
+COUNTED_REQUESTS = 50
+IDLE_SECONDS = 8  # of the module's clock, over which timers and log are counted
+LEAST_REPEATS = 3
+LONGEST_NS = 2_000_000_000  # of processor time in the repeats of one block: no further one is begun
+
+
+def _warm_host(scale: Scale, seed: int) -> ModuleHost:
+    host = ModuleHost(scale, seed)
+    host.load_list()
+    host.serve(WARM_REQUESTS)
+    return host
+
+
+def _serve_without_timers(host: ModuleHost, requests: int) -> None:
+    """Requests at their rate while no timer comes due: timers are measured by themselves."""
+    for _ in range(requests):
+        host.serve_one()
+        host.now += SECOND // host.scale.requests
+
+
+def _drain_and_return(host: ModuleHost) -> None:
+    """Two changes of one entry."""
+    host.change_one(ServerState.DRAINING)
+    host.change_one(ServerState.READY)
+
+
+def _idle(host: ModuleHost) -> None:
+    host.longest_timer = host.log_bytes = host.timers_set = 0
+    host.advance(host.now + IDLE_SECONDS * SECOND)
+
+
+def counted(scale: Scale, seed: int) -> list[Figure]:
+    """What is the same in every run of one seed, so that a test can hold its growth on any machine."""
+    list_lines = count_lines(ModuleHost(scale, seed).load_list)
+    host = _warm_host(scale, seed)
+    state = held(host.balancer)
+    change_lines = count_lines(lambda: _drain_and_return(host)) / 2
+    request_lines = count_lines(lambda: _serve_without_timers(host, COUNTED_REQUESTS)) / COUNTED_REQUESTS
+    attempts = sum(host.attempts.values()) / host.requests
+    timer_lines = count_lines(lambda: _idle(host)) / IDLE_SECONDS
+    return [
+        Figure("state, objects", "objects", state.objects),
+        Figure("state, size", "MB", state.size / 1e6),
+        Figure("whole list, lines executed", "lines", list_lines),
+        Figure("one changed entry, lines executed", "lines", change_lines),
+        Figure("a day of changes, lines executed", "lines", change_lines * scale.changes),
+        Figure("request and outcome, lines executed", "lines", request_lines),
+        Figure("request, attempts", "attempts", attempts),
+        Figure("timers, lines executed a second", "lines", timer_lines),
+        Figure("timers, set a second", "1/s", host.timers_set / IDLE_SECONDS),
+        Figure("log, bytes a second", "B/s", host.log_bytes / IDLE_SECONDS),
+    ]
+
+
+def _best_time(work: Callable[[], object], repeats: int) -> float:
+    """Processor time of the quickest of some runs, in nanoseconds; fewer runs where they take long."""
+    times: list[int] = []
+    while len(times) < repeats and (len(times) < LEAST_REPEATS or sum(times) < LONGEST_NS):
+        began = time.thread_time_ns()
+        work()
+        times.append(time.thread_time_ns() - began)
+    return min(times)
+
+
+def _timed(scale: Scale, effort: Effort, seed: int) -> list[Figure]:
+    """Processor times, each the best of several."""
+    fresh = [ModuleHost(scale, seed) for _ in range(LEAST_REPEATS)]
+    list_time = _best_time(lambda: fresh.pop().load_list(), len(fresh))
+    host = _warm_host(scale, seed)
+    change_time = _best_time(lambda: _drain_and_return(host), 3 * effort.repeats) / 2
+    request_time = _best_time(lambda: _serve_without_timers(host, TIMED_REQUESTS), effort.repeats)
+    longest_calls: list[int] = []
+
+    def idle() -> None:
+        _idle(host)
+        longest_calls.append(host.longest_timer)
+
+    timer_time = _best_time(idle, effort.repeats)
+    return [
+        Figure("whole list, processor time", "ms", list_time / 1e6),
+        Figure("one changed entry, processor time", "us", change_time / 1e3),
+        Figure("a day of changes, processor time", "ms", change_time * scale.changes / 1e6),
+        Figure("request and outcome, processor time", "us", request_time / TIMED_REQUESTS / 1e3),
+        Figure("timers, longest call", "ms", min(longest_calls) / 1e6),
+        Figure("timers, processor time a second", "us", timer_time / IDLE_SECONDS / 1e3),
+    ]
+
+
+def measure(scale: Scale, effort: Effort, seed: int) -> list[Figure]:
+    """All measures of the module at one scale."""
+    gc.collect()
+    return counted(scale, seed) + _timed(scale, effort, seed)
+
+
+ROLE = Role(
+    name="module",
+    about="the decision module in this process; times are processor times, the best of several",
+    axes=tuple(Axis),
+    quick_axes=(Axis.SERVERS, Axis.TENANTS, Axis.FLEET),
+    measure=measure,
+)
