Draw a keyed repeat's server from a sample of those that drop it; credit by server

Cause: the repeat of a keyed request walked and shuffled all ready servers; and a server's first cold credit came from the generator of all other choices, so that a server could not be made later, when first met, without changing every choice after it. Change: at most REPEAT_SAMPLE servers of the cell, zone or fleet, drawn at random, are looked at; the first credit is drawn from the seed, the server's id and its start. Random numbers are drawn in another order, so actions differ from before for the same seed; the distributions are the same where a cell, zone or fleet has up to REPEAT_SAMPLE servers. Linear still in this commit: the group's building, until servers are indexed.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -20,6 +20,7 @@
 LONELY = 1.0  # attempts of others at a server: with more it is not idle, though none of ours is there
 MET = 10  # requests in an overload window for each server of the pool: met more seldom, it is not known
 DRAW = 5  # servers sampled per request: enough to find an idle one, few enough to stay a sample
+REPEAT_SAMPLE = 20  # servers looked at for a repeat of a keyed request, of those that drop repeats
 HOLD_SHARE = 0.1  # of the aim: how long a request with nowhere to go waits between two looks
 ADVICE_SHARE = 0.05  # of the aim: how long a refused client is to stay away while all are let in
 GOOD_SHARE = 0.5  # of the aim: an answer within this shows that the server carries what it has
@@ -167,6 +168,7 @@
 class Balancer:
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
+        self.seed = seed
         self.random = Random(seed).random
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # those that run
@@ -233,7 +235,13 @@
             known = self.servers.get(entry.id)
             if known is None or entry.started > known.entry.started:  # a new process: what was known is void
                 new.append(
-                    Server(entry, 0.0, self.random(), self.arrived, [Lane() for _ in self.settings.classes])
+                    Server(
+                        entry,
+                        0.0,
+                        self._first_credit(entry),
+                        self.arrived,
+                        [Lane() for _ in self.settings.classes],
+                    )
                 )
                 self.servers[entry.id] = new[-1]
             else:
@@ -271,8 +279,7 @@
 
     def _draw(self, now: int, item: Open) -> list[Server]:
         """Up to DRAW servers at random without replacement, of those that this request may go to."""
-        bound = item.klass.idempotency is Idempotency.KEYED and item.anchor()  # few drop its repeats
-        pool, picked, aside = self.ready if bound else self.pool, list[Server](), list[Server]()
+        pool, picked, aside = self._candidates(item), list[Server](), list[Server]()
         hung, most = list[Server](), len(pool) if self._tight(now, item) else DRAW
         for i in range(len(pool)):
             j = i + int(self.random() * (len(pool) - i))
@@ -291,6 +298,24 @@
         # A trouble of the whole fleet must not shut it out: more than half are never left aside.
         return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside or hung)[:DRAW]
 
+    def _candidates(self, item: Open) -> list[Server]:
+        """The pool, or for the repeat of a keyed request a sample of all servers that drop it."""
+        anchor, scope = item.anchor(), item.klass.scope
+        if anchor is None or item.klass.idempotency is not Idempotency.KEYED:
+            return self.pool
+        entry = anchor.server.entry
+        group = [
+            s.entry.id
+            for s in self.ready
+            if scope is Scope.ALL
+            or (scope is Scope.ZONE and s.entry.zone == entry.zone)
+            or (scope is Scope.CELL and s.entry.cell == entry.cell)
+        ]
+        group.sort()
+        if len(group) > REPEAT_SAMPLE:
+            group = sorted({group[int(self.random() * len(group))] for _ in range(REPEAT_SAMPLE)})
+        return [self.servers[n] for n in group]
+
     def _hangs(self, now: int, item: Open, server: Server) -> bool:
         """Whether this class gets no answers there, whatever others get: left to the last."""
         lane = server.lanes[item.request.klass]
@@ -309,18 +334,6 @@
     def _allowed(self, now: int, item: Open, server: Server) -> bool:
         if any(attempt.server is server for attempt in item.attempts):
             return False
-        anchor, scope = item.anchor(), item.klass.scope
-        if (
-            anchor is not None
-            and item.klass.idempotency is Idempotency.KEYED
-            and (
-                scope is Scope.CELL
-                and server.entry.cell != anchor.server.entry.cell
-                or scope is Scope.ZONE
-                and server.entry.zone != anchor.server.entry.zone
-            )
-        ):
-            return False
         # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
         if now < server.lanes[item.request.klass].rest_until:
             return False
@@ -625,6 +638,12 @@
     def _cold(self, now: int, server: Server) -> bool:
         return server.entry.started > 0 and now < server.entry.started + self.settings.cold_time
 
+    def _first_credit(self, entry: ServerEntry) -> float:
+        """At random, so that the instances take turns; the same whenever this instance first meets it."""
+        if entry.started <= 0:
+            return 0.0  # never cold
+        return Random(f"{self.seed}/{entry.id}/{entry.started}").random()
+
     def _warmth(self, now: int, server: Server) -> float:
         """Least share of its capacity that a server has by now."""
         if not self._cold(now, server):
