Keep the fleet as sorted entries and learn only of the servers that are met

Change: Fleet holds the entries, the sorted ids of the ready servers and, where a keyed class needs them, those of each zone and cell; a changed entry costs binary searches. A server's state is made when it is first met; a fleet of up to KEPT servers is known whole, as before, and outside the pool the KEPT latest met and those with anything owed stay known. The mean weight is a running sum. The module's size test names bisect as one more import that reaches nothing outside; the test of the pool's rooms takes them from the known servers.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from array import array
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -57,6 +58,7 @@
 TRY_SLACK = 0.05  # of the time for a first try: a retry's may differ by this without telling anything
 SHARE_WINDOW = 3.0  # seconds: what a tenant leaves of its share is kept so long for it
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
+KEPT = 200  # servers whose learned state is kept outside the pool; a fleet of so many is known whole
 LOG_SWEEPS = 2  # sweeps from one report in the log to the next
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
 ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
@@ -122,6 +124,78 @@
         return next((a for a in self.attempts if a.end not in NOT_RUN), None)
 
 
+class Fleet:
+    """All servers that are listed, as their entries alone, and the sorted ids of those that are ready.
+
+    A changed entry costs a few binary searches, a whole list one sort.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        scopes = {c.scope for c in settings.classes if c.idempotency is Idempotency.KEYED}
+        self.needs_zones, self.needs_cells = Scope.ZONE in scopes, Scope.CELL in scopes
+        self.entries: dict[int, ServerEntry] = {}  # ready or draining
+        self._clear_ready()
+
+    def _clear_ready(self) -> None:
+        self.ready: list[int] = []
+        self.zones: dict[int, list[int]] = {}  # the ready ones of each, where a class needs them
+        self.cells: dict[int, list[int]] = {}
+        self.weight = 0.0  # of all ready ones
+
+    def replace(self, entries: tuple[ServerEntry, ...]) -> set[int]:
+        """Take over a whole list; returns the ids whose process was not listed before."""
+        old, ready, gone = self.entries, ServerState.READY, ServerState.GONE  # looked up once
+        self.entries = {e.id: e for e in entries if e.state is not gone}
+        self._clear_ready()
+        self.ready = sorted([n for n, e in self.entries.items() if e.state is ready])
+        running = [self.entries[number] for number in self.ready]
+        self.weight = sum([entry.weight for entry in running])
+        if self.needs_zones:
+            for entry in running:
+                self.zones.setdefault(entry.zone, []).append(entry.id)
+        if self.needs_cells:
+            for entry in running:
+                self.cells.setdefault(entry.cell, []).append(entry.id)
+        if not old:
+            return set(self.entries)
+        return {n for n, e in self.entries.items() if n not in old or e.started > old[n].started}
+
+    def put(self, entry: ServerEntry) -> bool:
+        """Take over one changed entry; returns whether its process was not listed before."""
+        old = self.entries.pop(entry.id, None)
+        if old is not None and old.state is ServerState.READY:
+            self.weight -= old.weight
+            for group in self._groups(old):
+                del group[bisect_left(group, old.id)]
+        if entry.state is ServerState.READY:
+            self.weight += entry.weight
+            for group in self._groups(entry):
+                insort(group, entry.id)
+        listed = entry.state is not ServerState.GONE
+        if listed:
+            self.entries[entry.id] = entry
+        return listed and (old is None or entry.started > old.started)
+
+    def _groups(self, entry: ServerEntry) -> list[list[int]]:
+        """The sorted ids among which a ready server stands."""
+        groups = [self.ready]
+        if self.needs_zones:
+            groups.append(self.zones.setdefault(entry.zone, []))
+        if self.needs_cells:
+            groups.append(self.cells.setdefault(entry.cell, []))
+        return groups
+
+    def scope(self, scope: Scope, entry: ServerEntry) -> list[int]:
+        """The ready servers that drop the repeats of a keyed request sent to this one."""
+        if scope is Scope.ALL:
+            return self.ready
+        groups, key = (self.zones, entry.zone) if scope is Scope.ZONE else (self.cells, entry.cell)
+        return groups.get(key, [])
+
+    def mean_weight(self) -> float:
+        return self.weight / max(1, len(self.ready)) or 1.0
+
+
 class TenantShares:
     """What each tenant has left of its share, of which each balancer keeps an equal part.
 
@@ -170,9 +244,10 @@
         self.settings = settings
         self.seed = seed
         self.random = Random(seed).random
-        self.servers: dict[int, Server] = {}
-        self.ready: list[Server] = []  # those that run
-        self.pool: list[Server] = []  # those of them that this instance keeps in touch with
+        self.fleet = Fleet(settings)
+        self.servers: dict[int, Server] = {}  # those of it that this instance has met
+        self.first_room = ROOM  # of a server that was listed before any was known, when it is first met
+        self.pool: list[Server] = []  # the ready ones that this instance keeps in touch with
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
         self.arrivals = 0.0  # requests in an overload window, running mean
         self.open: dict[str, Open] = {}
@@ -186,7 +261,7 @@
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = 0
         self.watched = False  # discovery has told of its list, or has moved, and no call has failed since
-        self.whole = self.mean_weight = 1.0  # of the pool: servers, cold ones by their warmth; listed size
+        self.whole = 1.0  # servers of the pool, cold ones by their warmth
         self.patience = [0] * len(settings.classes)  # of the latest first try
         self.shares = TenantShares(settings)
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
@@ -224,38 +299,56 @@
             return self._done()
         if update.kind is not ListKind.CACHED:
             self.watch_failures, self.watched = 0, True
-        if update.kind is not ListKind.DELTA:
-            listed = {e.id for e in update.entries}
-            for server in self.servers.values():
-                if server.entry.id not in listed:
-                    server.entry = replace(server.entry, state=ServerState.GONE)
-        rooms = [s.room for s in self.ready]  # one that comes later is trusted like those already there
-        new = []
-        for entry in update.entries:
-            known = self.servers.get(entry.id)
-            if known is None or entry.started > known.entry.started:  # a new process: what was known is void
-                new.append(
-                    Server(
-                        entry,
-                        0.0,
-                        self._first_credit(entry),
-                        self.arrived,
-                        [Lane() for _ in self.settings.classes],
-                    )
-                )
-                self.servers[entry.id] = new[-1]
-            else:
-                known.entry = entry
-        self.ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
-        self.mean_weight = sum(s.entry.weight for s in self.ready) / max(1, len(self.ready)) or 1.0
+        room = self._mean_room()
+        if update.kind is ListKind.DELTA:
+            fresh = {entry.id for entry in update.entries if self.fleet.put(entry)}
+        else:
+            fresh = self.fleet.replace(update.entries)
+        for server in list(self.servers.values()):
+            self._relist(server, fresh)
+        if len(self.fleet.entries) <= KEPT:
+            for number in sorted(fresh):
+                self._meet(number)
         self._gather(now)
-        for server in new:
-            server.room = sum(rooms) / len(rooms) if rooms else ROOM / self._sharers()
+        if room is None:
+            room = self.first_room = ROOM / self._sharers()
+        for number in self.servers.keys() & fresh:
+            self.servers[number].room = room
         return self._done()
 
+    def _relist(self, server: Server, fresh: set[int]) -> None:
+        """Bring a server's entry up to date; one whose process is known is taken from the fresh ones."""
+        number = server.entry.id
+        entry = self.fleet.entries.get(number)
+        if entry is None:
+            if server.entry.state is not ServerState.GONE:
+                server.entry = replace(server.entry, state=ServerState.GONE)
+        elif entry.started > server.entry.started:  # a new process: what was known is void
+            del self.servers[number]
+        else:
+            server.entry = entry
+            fresh.discard(number)
+
+    def _mean_room(self) -> float | None:
+        """Of all ready servers: one that comes later is trusted like those already there."""
+        if not self.fleet.ready:
+            return None
+        rooms = [s.room for s in self.servers.values() if s.entry.state is ServerState.READY]
+        return (sum(rooms) + self.first_room * (len(self.fleet.ready) - len(rooms))) / len(self.fleet.ready)
+
+    def _meet(self, number: int) -> Server:
+        """The learned state of a listed server, made when this instance first needs it."""
+        server = self.servers.get(number)
+        if server is None:
+            entry = self.fleet.entries[number]
+            lanes = [Lane() for _ in self.settings.classes]
+            server = Server(entry, self.first_room, self._first_credit(entry), self.arrived, lanes)
+            self.servers[number] = server
+        return server
+
     def _sharers(self) -> float:
         """How many instances draw from a server, where all see about as many requests as this one."""
-        return max(1.0, self.settings.balancers * len(self.pool) / max(1, len(self.ready)))
+        return max(1.0, self.settings.balancers * len(self.pool) / max(1, len(self.fleet.ready)))
 
     def _others(self) -> float:
         """Attempts of the other instances at a server, if they have as many there as this one on average."""
@@ -266,15 +359,28 @@
 
         Met more seldom, what was learned of a server is no longer true, and connections cost too much.
         """
-        self.ready.sort(key=lambda s: s.entry.id)
-        start = int(self.settings.me * STRIDE % 1 * len(self.ready))
-        self.ready = self.ready[start:] + self.ready[:start]
-        self.ready.sort(key=lambda s: s.refused > 0 and now < s.rest_until)
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
-        self.pool = self.ready[: max(POOL_LEAST * DRAW, int(met / MET))]
+        size = max(POOL_LEAST * DRAW, int(met / MET))
+        self.pool = [self._meet(number) for number in self._reachable_first(now, size)]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
         self.whole = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
 
+    def _reachable_first(self, now: int, size: int) -> list[int]:
+        """That many of the ready servers from this instance's place on, unreachable ones last."""
+        ready = self.fleet.ready
+        start = int(self.settings.me * STRIDE % 1 * len(ready))
+        reachable, unreachable = list[int](), list[int]()
+        for i in range(len(ready)):
+            if len(reachable) == size:
+                break
+            number = ready[start + i - len(ready)]  # a negative index counts from the end
+            (unreachable if self._unreachable(now, number) else reachable).append(number)
+        return (reachable + unreachable)[:size]
+
+    def _unreachable(self, now: int, number: int) -> bool:
+        server = self.servers.get(number)
+        return server is not None and server.refused > 0 and now < server.rest_until
+
     # ---- draw ----
 
     def _draw(self, now: int, item: Open) -> list[Server]:
@@ -303,18 +409,10 @@
         anchor, scope = item.anchor(), item.klass.scope
         if anchor is None or item.klass.idempotency is not Idempotency.KEYED:
             return self.pool
-        entry = anchor.server.entry
-        group = [
-            s.entry.id
-            for s in self.ready
-            if scope is Scope.ALL
-            or (scope is Scope.ZONE and s.entry.zone == entry.zone)
-            or (scope is Scope.CELL and s.entry.cell == entry.cell)
-        ]
-        group.sort()
+        group = self.fleet.scope(scope, anchor.server.entry)
         if len(group) > REPEAT_SAMPLE:
             group = sorted({group[int(self.random() * len(group))] for _ in range(REPEAT_SAMPLE)})
-        return [self.servers[n] for n in group]
+        return [self._meet(number) for number in group]
 
     def _hangs(self, now: int, item: Open, server: Server) -> bool:
         """Whether this class gets no answers there, whatever others get: left to the last."""
@@ -386,7 +484,8 @@
         klass = self.settings.classes[request.klass]
         item = self.open[request.id] = Open(request, klass, now, beyond=not self.shares.take(now, request))
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
-        if self.sweeps < 2 and 2 * self.arrived >= MET * len(self.pool) and len(self.pool) < len(self.ready):
+        growing = self.sweeps < 2 and len(self.pool) < len(self.fleet.ready)
+        if growing and 2 * self.arrived >= MET * len(self.pool):
             self._gather(now)  # many requests: a start with few servers would refuse some of them
         self.yielded *= 1 - SMOOTH
         # A jam of the whole pool: rooms of single servers learn too slowly where each is met seldom.
@@ -663,7 +762,7 @@
             return True
         served = max(self.yielded, ROOM / self.settings.balancers)  # at least so much, or none would begin
         bears = SAFETY * self.settings.overload_multiple * self._warmth(now, server) * served
-        bears *= server.entry.weight / self.mean_weight / self.whole
+        bears *= server.entry.weight / self.fleet.mean_weight() / self.whole
         server.credit += bears * (self.arrived - server.credited)
         server.credited = self.arrived
         most = 1 + bears * self.arrivals * LAPSE
@@ -697,11 +796,26 @@
         self._appraise()
         if self.sweeps % LOG_SWEEPS == 0:
             self._report()
-        self.servers = {
-            n: s
-            for n, s in self.servers.items()
-            if s.entry.state is not ServerState.GONE or s.in_flight or self._cold(now, s)
-        }
+        self._drop_servers(now)
+
+    def _drop_servers(self, now: int) -> None:
+        """Forget the servers that are gone, and the longest known outside the pool beyond KEPT."""
+        pool = {server.entry.id for server in self.pool}
+        outside = [n for n, s in self.servers.items() if n not in pool and not s.in_flight]
+        gone = [n for n in outside if self.servers[n].entry.state is ServerState.GONE]
+        listed = [n for n in outside if self.servers[n].entry.state is not ServerState.GONE]
+        for number in gone:
+            if not self._cold(now, self.servers[number]):
+                del self.servers[number]
+        for number in listed[:-KEPT]:
+            if not self._state_matters(now, self.servers[number]):
+                del self.servers[number]
+
+    def _state_matters(self, now: int, server: Server) -> bool:
+        """Whether a server that is met anew without its state could be sent more than is due."""
+        spent = server.quiet_since > 0 and self._cold(now, server)  # credit, by attempts sent to it
+        resting = now < max(server.rest_until, *(lane.rest_until for lane in server.lanes))
+        return spent or resting or self._left_there(now, server) > 0
 
     def _appraise(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
@@ -720,7 +834,7 @@
                 f"gave up {_told(self.gave_up)}"
             )
         )
-        for s in sorted(self.ready, key=lambda s: s.entry.id):
+        for s in sorted((self._meet(n) for n in self.fleet.ready), key=lambda s: s.entry.id):
             self.acts.append(
                 Log(
                     f"server {s.entry.id:x} zone {s.entry.zone} room {s.room:.2f} "
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -423,7 +423,8 @@
         world.advance(window // 20)
     pool = world.balancer.pool
     assert 20 / len(pool) >= 2, "a request of one for two of its requests a window"
-    trusted = sum(s.room for s in world.balancer.ready) / 60 * world.settings.balancers * len(pool) / 60
+    rooms = [server.room for server in world.balancer.servers.values()]
+    trusted = sum(rooms) / len(rooms) * world.settings.balancers * len(pool) / 60
     assert trusted > 1.5, "the room of a server is shared by those who draw from it, not by all"
     for _ in range(6000):
         world.end_all(world.submit(2))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -162,7 +162,7 @@
     tree = ast.parse(RULES.read_text())
     imported = {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
     imported |= {n.module or "" for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)}
-    assert imported <= {"__future__", "array", "dataclasses", "random", "dykeshift.interface"}
+    assert imported <= {"__future__", "array", "bisect", "dataclasses", "random", "dykeshift.interface"}
     names = {n.id for n in ast.walk(tree) if isinstance(n, ast.Name)}
     assert not names & {"open", "eval", "exec", "hash", "id", "__import__", "print", "input"}
     froms = [n for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)]
