--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -60,7 +60,9 @@
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
 KEPT = 200  # servers whose learned state is kept outside the pool; a fleet of so many is known whole
 LOG_SWEEPS = 2  # sweeps from one report in the log to the next
+REPORTED = 5  # servers that a report names, the worst ones; the others are counted
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
+BLAMELESS = (Outcome.OK, Outcome.CANCELLED, Outcome.NOT_SENT)  # ends that are no failure of the server
 ANSWERS = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # ends that came from the server itself
 
 
@@ -97,6 +99,7 @@
     left: list[int] = field(default_factory=list)  # until when its abandoned attempts count as running
     refused: int = 0  # connects that failed in a row
     ends: dict[str, int] = field(default_factory=dict)  # of its attempts, by class, until the next report
+    failures: int = 0  # of these ends
 
 
 @dataclass(slots=True, eq=False)
@@ -265,6 +268,7 @@
         self.patience = [0] * len(settings.classes)  # of the latest first try
         self.shares = TenantShares(settings)
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
+        self.ends: dict[str, int] = {}  # of attempts at all servers, by class, until the next report
         self.acts: list[Action] = []
 
     def _done(self) -> list[Action]:
@@ -598,7 +602,7 @@
             return []
         attempt = item.attempts[end.attempt]
         attempt.end = end.outcome
-        _count(attempt.server.ends, f"{item.klass.name}/{end.outcome.name}")
+        self._count_end(attempt.server, f"{item.klass.name}/{end.outcome.name}", end.outcome)
         item.live -= 1
         self._learn(now, item, attempt.server, end)
         if end.final and not item.closed:
@@ -795,7 +799,7 @@
         self.easy = EASY * (SOFTER if any(self._cold(now, s) for s in self.pool) else 1 - HARDER * self.crowd)
         self._appraise()
         if self.sweeps % LOG_SWEEPS == 0:
-            self._report()
+            self._report(now)
         self._drop_servers(now)
 
     def _drop_servers(self, now: int) -> None:
@@ -825,7 +829,7 @@
         fair = self.settings.fairness * len(worths)
         self.value = [min(1.0, (v + fair) / max(per_work)) for v in per_work]
 
-    def _report(self) -> None:
+    def _report(self, now: int) -> None:
         """The state by which requests are let in, held and placed, for those who run this."""
         self.acts.append(
             Log(
@@ -834,12 +838,38 @@
                 f"gave up {_told(self.gave_up)}"
             )
         )
-        for s in sorted((self._meet(n) for n in self.fleet.ready), key=lambda s: s.entry.id):
+        self._report_servers(now)
+        self.gave_up.clear()
+
+    def _count_end(self, server: Server, name: str, outcome: Outcome) -> None:
+        _count(self.ends, name)
+        _count(server.ends, name)
+        server.failures += outcome not in BLAMELESS
+
+    def _report_servers(self, now: int) -> None:
+        """All servers as counts, and by name only the worst of those met: however many there are."""
+        known = self.servers.values()
+        listed, ready = len(self.fleet.entries), len(self.fleet.ready)
+        cold = sum(self._cold(now, s) for s in known)
+        resting = sum(now < s.rest_until for s in known)
+        unreachable = sum(self._unreachable(now, n) for n in self.servers)
+        slow = sum(s.pace > GOOD_SHARE for s in known)
+        self.acts.append(
+            Log(
+                f"servers {listed} ready {ready} draining {listed - ready} pool {len(self.pool)} "
+                f"known {len(known)} cold {cold} resting {resting} unreachable {unreachable} slow {slow} "
+                f"room {sum(s.room for s in known):.2f} out {sum(s.in_flight for s in known)} "
+                f"failing {sum(s.failures > 0 for s in known)} ends {_told(self.ends)}"
+            )
+        )
+        for s in sorted(known, key=lambda s: (-s.failures, -s.pace, s.entry.id))[:REPORTED]:
             self.acts.append(
                 Log(
                     f"server {s.entry.id:x} zone {s.entry.zone} room {s.room:.2f} "
                     f"out {s.in_flight} pace {s.pace:.2f} ends {_told(s.ends)}"
                 )
             )
+        for s in known:
             s.ends.clear()
-        self.gave_up.clear()
+            s.failures = 0
+        self.ends.clear()
