Tell a server met anew by its id and start; begin later ones with their list's trust

Cause, found by reading what is owed when state is dropped: an attempt was told from a server by its state object, so a server whose state was dropped and made anew could get a second attempt of the same request; and all servers met later began with the room of the first list, however short, where each used to begin with the mean room of its own list's time. Change: attempts compare id and start; first_room is the mean over the servers not yet met.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -234,6 +234,10 @@
         return within
 
 
+def _same_process(one: ServerEntry, other: ServerEntry) -> bool:
+    return one.id == other.id and one.started == other.started
+
+
 def _count(counts: dict[str, int], name: str) -> None:
     counts[name] = counts.get(name, 0) + 1
 
@@ -249,7 +253,7 @@
         self.random = Random(seed).random
         self.fleet = Fleet(settings)
         self.servers: dict[int, Server] = {}  # those of it that this instance has met
-        self.first_room = ROOM  # of a server that was listed before any was known, when it is first met
+        self.first_room = ROOM  # of the servers not met yet, on average: what each begins with
         self.pool: list[Server] = []  # the ready ones that this instance keeps in touch with
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
         self.arrivals = 0.0  # requests in an overload window, running mean
@@ -316,8 +320,11 @@
         self._gather(now)
         if room is None:
             room = self.first_room = ROOM / self._sharers()
-        for number in self.servers.keys() & fresh:
+        met = self.servers.keys() & fresh
+        for number in met:
             self.servers[number].room = room
+        unmet = max(1, len(self.fleet.entries) - len(self.servers))
+        self.first_room += min(1.0, (len(fresh) - len(met)) / unmet) * (room - self.first_room)
         return self._done()
 
     def _relist(self, server: Server, fresh: set[int]) -> None:
@@ -434,7 +441,7 @@
         )
 
     def _allowed(self, now: int, item: Open, server: Server) -> bool:
-        if any(attempt.server is server for attempt in item.attempts):
+        if any(_same_process(attempt.server.entry, server.entry) for attempt in item.attempts):
             return False
         # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
         if now < server.lanes[item.request.klass].rest_until:
--- a/tests/test_module_cost.py
+++ b/tests/test_module_cost.py
@@ -249,3 +249,31 @@
         within += shares.take(traffic.now, Request(f"t{n}", 0, traffic.now + S, tenant=14_999))
         shares.take(traffic.now, Request(f"u{n}", 0, traffic.now + S, tenant=n))
     assert within == pytest.approx(part * 2_000 * 10 / 3, abs=2)
+
+
+def test_a_server_met_anew_gets_no_second_attempt_of_the_same_request() -> None:
+    """Its state was dropped between two attempts: by that alone it looked like another server."""
+    balancer = Balancer(make_settings(balancers=BALANCERS), seed=7)
+    now = 100 * S
+    entry = ServerEntry(5, 0, 0, 0, ServerState.READY, 1.0, 0)
+    balancer.on_list(now, ServerList(ListKind.FULL, (entry,)))
+    (sent,) = (a for a in balancer.on_request(now, Request("q", 0, now + S)) if isinstance(a, Send))
+    del balancer.servers[sent.server]
+    balancer.on_list(now, ServerList(ListKind.DELTA, (entry,)))
+    end = AttemptEnd("q", 0, sent.server, Outcome.FULL, MS, False)
+    actions = balancer.on_attempt_end(now + MS, end) + balancer.on_timer(now + 50 * MS, "r:q")
+    assert not any(isinstance(action, Send) for action in actions)
+
+
+def test_servers_met_later_begin_with_the_trust_of_the_list_that_told_of_them() -> None:
+    """A short cached list of long ago came first: its servers were each shared by all balancers."""
+    traffic = Traffic(LARGE)
+    balancer = traffic.balancer
+    balancer.on_list(traffic.now, ServerList(ListKind.CACHED, traffic.entries[:10]))
+    for server in balancer.servers.values():
+        server.room = 3.0
+    traffic.list_all()
+    assert balancer.first_room == pytest.approx(3.0)
+    assert [server.room for server in balancer.pool] == [pytest.approx(3.0)] * 10
+    traffic.change()
+    assert balancer.first_room == pytest.approx(3.0)
