--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
-from dykeshift.interface import Idempotency, ListKind, Outcome, Request, RequestClass, Scope
+from dykeshift.interface import Idempotency, ListKind, Outcome, Request, RequestClass, Scope, ServerState
 from tests.harness import CLASSES, KEYED_CELL, MS, SAFE, UNSAFE, S, World, entry, make_settings
 from tests.test_properties import Rules
 
@@ -120,6 +120,21 @@
     assert within(0) == 6  # a fortieth of three seconds' worth, however much was left before
 
 
+def test_a_class_whose_repeats_go_to_a_cell_finds_it_though_no_class_needed_cells_before() -> None:
+    world = make_world((SAFE,), servers=9)
+    change(world, classes=(SAFE, KEYED_CELL))
+    rid = world.submit(1)
+    world.end(rid, 0, Outcome.ERROR)
+    assert len(world.requests[rid].servers) == 2  # in the cell of the first, as the harness checks
+    change(world, classes=(SAFE,))
+    cell = world.list[world.requests[rid].servers[0]].cell
+    others = [n for n in range(9) if world.list[n].cell != cell]
+    world.announce(ListKind.DELTA, *(entry(n, ServerState.DRAINING) for n in others))
+    world.end(rid, 1, Outcome.ERROR)
+    assert len(world.requests[rid].servers) == 3  # the cell is still known for the sake of this one
+    world.settle()
+
+
 def test_the_balancer_count_is_that_of_the_new_settings() -> None:
     world = make_world((SAFE,))
     change(world, balancers=400)
