Measure how long a connection rests by the real clock, not by the loop's

Cause: the loop's clock stands still through a turn and counts whole milliseconds, and its timers are rounded to the nearest one. In a long turn a connection read as rested that had only just answered, so that a second answer some milliseconds late could be taken for that of the next request. Change: rests, idle times and silences are measured by time.monotonic, and a rest's timer looks once more when it fires.

--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from time import monotonic
 from typing import Protocol, cast
 
 import httptools
@@ -62,7 +63,7 @@
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.exchange: Exchange | None = None
         self.answer: Answer | None = None
-        self.idle_since = loop.time()
+        self.idle_since = monotonic()  # the loop's clock stands still while the loop is busy
         self.unwritten = self.stray = self.to_end = False
         self.reusable, self.used = True, False
 
@@ -109,7 +110,7 @@
         if not sound and self.used:
             log.warning(
                 "%.1f ms after its answer a server sent what nobody had asked for",
-                (self.loop.time() - self.idle_since) * 1e3,
+                (monotonic() - self.idle_since) * 1e3,
             )
         try:
             self.parser.feed_data(data)
@@ -126,7 +127,7 @@
         exchange, self.exchange, self.answer = self.exchange, None, None
         if reuse:
             self.used = True
-            self.idle_since = self.loop.time()
+            self.idle_since = monotonic()
             self.on_idle(self)
         elif self.transport is not None:
             self.transport.abort()
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from time import monotonic
 
 from dykeshift.interface import LoadReport, Outcome
 from dykeshift.node.config import Address
@@ -17,6 +18,7 @@
 FRESH = 0.8  # of the keepalive: a connection idle for longer is closed, well before the upstream does it
 SWEEP = 0.5  # seconds between two looks for such connections
 REST = 0.008  # seconds from an answer until its connection is used again; second answers came within 0.004
+ROUNDING = 0.0005  # seconds: timers are rounded to the nearest millisecond
 RISK, DOUBT = 0.15, 10  # part of the reuses, and of so many more, that may break at some idle time
 FADE = 0.9  # what is left of those counts after each look
 
@@ -108,7 +110,7 @@
             # Later, not now: whoever starts the attempt does not have it yet and could not place its end.
             self.pool.loop.call_soon(self.finish, End(Outcome.NOT_SENT))
             return False
-        self.connection, self.written = connection, self.pool.loop.time()
+        self.connection, self.written = connection, monotonic()
         self.idle = self.written - connection.idle_since if connection.used else None
         connection.send(self.message(left), self)
         return True
@@ -223,14 +225,22 @@
         if connection is not None:
             self._use(attempt, connection)
         elif upstream.idle:  # to wait costs the upstream nothing, a new connection does
-            connection = upstream.idle.pop(0)
-            self.loop.call_later(
-                connection.idle_since + self.rest - self.loop.time(), self._use, attempt, connection
-            )
+            self._use_rested(attempt, upstream.idle.pop(0))
         else:
             self._open(attempt)
         return attempt
 
+    def _use_rested(self, attempt: Attempt, connection: Connection) -> None:
+        """Use it once it has rested, by the real clock: a timer of a busy loop may fire early."""
+        left = self._rest_left(connection)
+        if left > 0 and connection.alive():
+            self.loop.call_later(left + ROUNDING, self._use_rested, attempt, connection)
+        else:
+            self._use(attempt, connection)
+
+    def _rest_left(self, connection: Connection) -> float:
+        return connection.idle_since + self.rest - monotonic()
+
     def _warm(self, upstream: Upstream) -> Connection | None:
         """The connection used last of those that have rested.
 
@@ -238,7 +248,7 @@
         answer, so the second one has to come before there is a next request on its connection.
         """
         for connection in upstream.idle[::-1]:
-            idle = self.loop.time() - connection.idle_since
+            idle = monotonic() - connection.idle_since
             if connection.used and idle < self.rest:
                 continue
             upstream.idle.remove(connection)
@@ -328,7 +338,7 @@
 
     def sweep(self) -> None:
         self.staleness.fade()
-        stale = self.loop.time() - self.keepalive
+        stale = monotonic() - self.keepalive
         for upstream in self.upstreams.values():
             for connection in [c for c in upstream.idle if c.idle_since <= stale]:
                 upstream.idle.remove(connection)
--- /dev/null
+++ b/tests/node/test_rest.py
@@ -0,0 +1,108 @@
+"""Connections that rest after an answer: how long, by the real clock."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from dykeshift.interface import Outcome
+from dykeshift.node.upstream import Pool
+from tests.node.stubs import Stub, answer, run, says, until
+from tests.node.test_upstream import Shot, make_pool
+
+LONG_REST = 3600.0  # seconds: what rests is not used again in a test
+
+
+class SlowClock:
+    """The loop as a pool sees it; its clock is behind, as that of a busy loop is, and timers fire early."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.loop = pool.loop
+        self.lag = 0.0
+        self.timers: list[tuple[Any, ...]] = []
+        pool.loop = self  # type: ignore[assignment]
+
+    def time(self) -> float:
+        return self.loop.time() - self.lag
+
+    def call_later(self, delay: float, callback: Any, *args: Any) -> None:
+        self.timers.append((callback, *args))
+
+    def fire(self) -> None:
+        callback, *args = self.timers.pop()
+        callback(*args)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+
+async def all_rest(pool: Pool, attempts: int = 1) -> None:
+    """So many connections, all of which rest from now on."""
+    shots = [Shot(pool) for _ in range(attempts)]
+    for shot in shots:
+        await shot.end()
+    pool.rest = LONG_REST
+
+
+def test_a_connection_rests_by_the_real_clock_however_late_the_loops_is() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        pool = make_pool(stub.address)
+        pool.rest = LONG_REST
+        clock = SlowClock(pool)
+        clock.lag = 2 * LONG_REST  # its answer is read late in a long turn of the loop
+        await Shot(pool).end()
+        clock.lag = 0.0
+        shot = Shot(pool)
+        assert shot.attempt.connection is None and len(clock.timers) == 1
+
+    run(main())
+
+
+def test_a_timer_that_fires_early_does_not_shorten_the_rest() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        pool = make_pool(stub.address)
+        await all_rest(pool)
+        clock = SlowClock(pool)
+        shot = Shot(pool)
+        for _ in range(3):
+            clock.fire()
+            assert shot.attempt.connection is None and len(clock.timers) == 1
+        pool.rest = 0.0
+        clock.fire()
+        assert shot.attempt.connection is not None
+        assert (await shot.end()).outcome is Outcome.OK and len(stub.writers) == 1
+
+    run(main())
+
+
+def test_a_connection_that_ends_while_it_is_waited_for_gives_way_at_its_timer() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        pool = make_pool(stub.address)
+        await all_rest(pool)
+        clock = SlowClock(pool)
+        shot = Shot(pool)
+        stub.writers[0].close()
+        await until(lambda: pool.open == 0)
+        clock.fire()
+        assert (await shot.end()).outcome is Outcome.OK and len(stub.writers) == 2
+
+    run(main())
+
+
+def test_a_drain_that_comes_during_the_wait_ends_the_attempt_unsent() -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        pool = make_pool(stub.address)
+        await all_rest(pool)
+        clock = SlowClock(pool)
+        shot = Shot(pool)
+        pool.upstreams[1].open_to_new = False
+        pool.rest = 0.0
+        clock.fire()
+        assert (await shot.end()).outcome is Outcome.NOT_SENT
+        await until(lambda: stub.lost == 1)
+        assert len(stub.seen) == 1
+
+    run(main())
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -398,7 +398,7 @@
         late = Shot(pool)
         await until(lambda: len(stub.seen) == 6)
         late.attempt.give_up(Outcome.CANCELLED)
-        pool.distrust(pool.upstreams[1], pool.loop.time())
+        pool.distrust(pool.upstreams[1], time.monotonic())
         assert not pool.upstreams[1].idle
         lost.attempt.give_up(Outcome.CANCELLED)
 
