Read known servers and tenants of the configuration without holding their JSON objects

Change: known servers become checked rows one by one, tenants go from the decoder straight into the table by name that requests are read with, and the rows are given up once they are taken over.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -65,7 +65,7 @@
         raise config.ConfigError(f"cannot listen on {given.listen[0]}:{given.listen[1]}: {exc}") from None
     driver.start()
     discovery.take_known(given.known)
-    given = replace(given, known=None)  # its text is as large as the fleet
+    given = replace(given, known=None)  # as large as the fleet
     if not given.settings.ask_discovery:
         discovery.watch()
         # What the agent has counts as told since before the program was loaded: the list known from
--- /dev/null
+++ b/dykeshift/node/address.py
@@ -0,0 +1,14 @@
+"""Addresses of the form host:port."""
+
+from __future__ import annotations
+
+from typing import Any
+
+Address = tuple[str, int]
+
+
+def read_address(text: Any) -> Address:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is no address of the form host:port")
+    return host, int(port)
--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+import logging
+from dataclasses import dataclass, field
 from typing import Any
 
 from dykeshift.interface import Settings
+from dykeshift.node.address import Address, read_address
 from dykeshift.node.json_cursor import JsonCursor
-from dykeshift.settings import Malformed, need, parse_settings
+from dykeshift.node.listing import Listing, Row, read_rows
+from dykeshift.settings import Malformed, SettingsError, need, parse_settings
 
-Address = tuple[str, int]
+log = logging.getLogger(__name__)
 
 SHARE = 0.4  # of the descriptors, for the connections to clients and again for those to upstreams
 PROGRAM = 16.0  # MB that the program needs with no connection open, measured, with some room
@@ -27,67 +30,93 @@
     discovery: Address
     seed: int
     connections: int  # most that may be open to clients, and as many to upstreams
-    known: str | None  # JSON of the list as this balancer last had it; None: never had one
+    known: Listing[Row] | None  # the list as this balancer last had it; None: none that is sound
     settings: Settings
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
-    tenants: tuple[str, ...]
+    tenants: dict[bytes, int]  # their numbers, by name
     keepalive: float  # seconds after which an upstream closes an idle connection
     connect_timeout: float  # seconds
     drain_grace: float  # seconds after a drain is told in which sends to that server have to stop
 
 
-def read_address(text: Any) -> Address:
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no address of the form host:port")
-    return host, int(port)
+@dataclass(frozen=True, slots=True)
+class Tenants:
+    """In the settings' order. As the objects of their JSON they would take several times the memory."""
+
+    numbers: dict[bytes, int] = field(default_factory=dict)  # by name
+    shares: list[float] = field(default_factory=list)
+
+    def add(self, members: list[tuple[str, Any]]) -> dict[str, Any] | None:
+        """Called by the JSON decoder for each object; what is no tenant remains an object."""
+        fields = dict(members)
+        if "name" not in fields or "quotaPerS" not in fields:
+            return fields
+        self.numbers[str(fields["name"]).encode()] = len(self.shares)
+        self.shares.append(float(fields["quotaPerS"]))
+        return None
 
 
 def load(path: str) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
-            raw, known = read_members(file.read())
-    except (OSError, ValueError, RecursionError) as exc:
+            text = file.read()
+    except (OSError, ValueError) as exc:
         raise ConfigError(f"cannot read the configuration {path!r}: {exc}") from None
     try:
-        return parse(raw, known)
-    except (Malformed, ValueError, TypeError, AttributeError) as exc:
+        return read(text)
+    except (Malformed, ValueError, TypeError, AttributeError, RecursionError) as exc:
         raise ConfigError(f"bad configuration {path!r}: {exc}") from None
 
 
-def read_members(text: str) -> tuple[Any, str | None]:
-    """The configuration without its list of servers, and the list's JSON by itself.
-
-    As objects a large list would take many times its size, in pieces all over the heap.
-    """
+def read(text: str) -> Config:
+    """The configuration from its JSON, whose longest parts are never held as objects all at once."""
     cursor = JsonCursor(text)
-    if not cursor.begins("{"):
-        return cursor.whole(), None
     raw: dict[str, Any] = {}
-    known: str | None = None
+    tenants, known = Tenants(), None
     for key in cursor.members():
         if key == "known":
-            known = skip_listing(cursor)
+            known = read_known(cursor)
+        elif key == "settings" and cursor.begins("{"):
+            raw[key], tenants = read_settings_members(cursor)
         else:
             raw[key] = cursor.value()
     cursor.end()
-    return raw, known
+    return parse(raw, tenants, known)
 
 
-def skip_listing(cursor: JsonCursor) -> str | None:
-    """The JSON of the list that begins here, without holding more than one row of it as objects."""
-    if not cursor.begins("{"):
-        value = cursor.value()
-        return None if value is None else json.dumps(value)
-    start = cursor.position
+def read_settings_members(cursor: JsonCursor) -> tuple[dict[str, Any], Tenants]:
+    """The settings that begin here, and apart from them their tenants."""
+    raw: dict[str, Any] = {}
+    tenants = Tenants()
     for key in cursor.members():
-        if key == "instances" and cursor.begins("["):
-            for _ in cursor.elements():
-                pass
+        if key == "parties" and cursor.begins("["):
+            tenants = read_tenants(cursor)
         else:
-            cursor.value()
-    return cursor.text[start : cursor.position]
+            raw[key] = cursor.value()
+    return raw, tenants
+
+
+def read_tenants(cursor: JsonCursor) -> Tenants:
+    tenants = Tenants()
+    parties = cursor.value(json.JSONDecoder(object_pairs_hook=tenants.add).raw_decode)
+    if len(parties) != len(tenants.shares) or any(party is not None for party in parties):
+        raise SettingsError("settings lack settings.parties[].name or quotaPerS")
+    return tenants
+
+
+def read_known(cursor: JsonCursor) -> Listing[Row] | None:
+    """The list that begins here; one that is unsound is dropped, the rest of the configuration holds."""
+    if cursor.begins("null"):
+        return cursor.value()  # type: ignore[no-any-return]
+    start = cursor.position
+    try:
+        return read_rows(cursor)
+    except ValueError as exc:
+        log.warning("the known list is dropped: %s", exc)
+    cursor.position = start
+    cursor.value()
+    return None
 
 
 def most_connections(limits: dict[str, Any]) -> int:
@@ -99,7 +128,7 @@
     return max(4, min(int(sockets * SHARE), int((memory - PROGRAM) / 2 / BUFFERS)))
 
 
-def parse(raw: Any, known: str | None = None) -> Config:
+def parse(raw: Any, tenants: Tenants, known: Listing[Row] | None) -> Config:
     given = need(raw, "settings", "")
     limits = need(given, "bounds", "settings.")
     rules = need(given, "obligations", "settings.")
@@ -110,10 +139,10 @@
         seed=int.from_bytes(seed.encode(), "big"),
         connections=most_connections(raw.get("limits", {})),
         known=known,
-        settings=parse_settings(given),
+        settings=parse_settings(given, tuple(tenants.shares)),
         zones=tuple(map(str, given.get("failureDomains", ()))),
         kinds=tuple(map(str, given.get("kinds", ()))),
-        tenants=tuple(str(need(p, "name", "settings.parties[].")) for p in given.get("parties", ())),
+        tenants=tenants.numbers,
         keepalive=float(need(limits, "keepaliveNs", "bounds.")) / 1e9,
         connect_timeout=float(need(limits, "connectTimeoutNs", "bounds.")) / 1e9,
         drain_grace=float(need(rules, "drainGraceNs", "obligations.")) / 1e9,
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from dykeshift.interface import ListKind
-from dykeshift.node.config import Address
+from dykeshift.node.address import Address
 from dykeshift.node.connection import Answer, Connection
-from dykeshift.node.listing import Listed, Listing, ListReader, decode
+from dykeshift.node.listing import Listed, Listing, ListReader, Row, decode
 
 log = logging.getLogger(__name__)
 
@@ -68,7 +68,7 @@
         self.asked = asyncio.Event()  # a call has come to its end, be it with nothing
         self.task: asyncio.Task[None] | None = None
 
-    def take_known(self, known: str | None) -> None:
+    def take_known(self, known: Listing[Row] | None) -> None:
         """The list from before the start: it may be old, and it may be unsound or missing.
 
         It serves until discovery answers. Where lists are pushed, the whole list is asked for all the
@@ -78,14 +78,9 @@
         """
         if known is None:
             return
-        try:
-            listing = self.reader.read(known)
-        except ValueError as exc:
-            log.warning("the known list is dropped: %s", exc)
-            return
-        self.apply(ListKind.CACHED, listing.servers)
+        self.apply(ListKind.CACHED, [self.reader.convert(row) for row in known.servers])
         if not self.pushed:
-            self.generation = listing.generation
+            self.generation = known.generation
 
     def watch(self) -> None:
         """Begin a watch, unless one is on: the watch goes on by itself from answer to answer."""
@@ -181,13 +176,13 @@
         if answer.status != 200:
             return False
         try:
-            listing = await self.reader.read_in_turns(decode(answer.body))
+            listing = await self.reader.read(decode(answer.body))
         except ValueError as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
         return self._take(listing)
 
-    def _take(self, listing: Listing) -> bool:
+    def _take(self, listing: Listing[Listed]) -> bool:
         generation, whole = listing.generation, listing.whole
         if not whole and self.generation is not None and generation < self.generation:
             log.warning("generation %d after %d: another discovery's", generation, self.generation)
--- a/dykeshift/node/json_cursor.py
+++ b/dykeshift/node/json_cursor.py
@@ -4,11 +4,13 @@
 
 import json
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
+Decode = Callable[[str, int], tuple[Any, int]]
+
 _SPACE = re.compile(r"[ \t\n\r]*")
-_SEPARATOR = re.compile(r"[ \t\n\r]*([,\]])")  # behind an element of an array
+_SEPARATOR = re.compile(r"[ \t\n\r]*([,\]])[ \t\n\r]*")  # behind an element of an array
 _decode = json.JSONDecoder().raw_decode
 
 
@@ -21,16 +23,10 @@
         self.text = text
         self.position = 0
 
-    def value(self) -> Any:
+    def value(self, decode: Decode = _decode) -> Any:
         """The whole value that begins here."""
         self._skip_space()
-        value, self.position = _decode(self.text, self.position)
-        return value
-
-    def whole(self) -> Any:
-        """The only value of the text."""
-        value = self.value()
-        self.end()
+        value, self.position = decode(self.text, self.position)
         return value
 
     def begins(self, char: str) -> bool:
@@ -58,14 +54,16 @@
         self._expect("[")
         if self._take("]"):
             return
-        last = False
-        while not last:
-            value = self.value()
-            separator = _SEPARATOR.match(self.text, self.position)
+        text, position = self.text, self.position
+        while True:
+            value, position = _decode(text, position)
+            separator = _SEPARATOR.match(text, position)
             if separator is None:
-                raise ValueError(f"expected ',' or ']' at character {self.position}")
-            self.position, last = separator.end(), separator[1] == "]"
+                raise ValueError(f"expected ',' or ']' at character {position}")
+            self.position = position = separator.end()
             yield value
+            if separator[1] == "]":
+                return
 
     def end(self) -> None:
         """Check that nothing more follows."""
--- a/dykeshift/node/listing.py
+++ b/dykeshift/node/listing.py
@@ -6,37 +6,50 @@
 import hashlib
 import json
 import math
+import sys
 import time
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, NamedTuple, TypeVar
 
 from dykeshift.interface import ServerEntry, ServerState
-from dykeshift.node.config import read_address
+from dykeshift.node.address import read_address
 from dykeshift.node.json_cursor import JsonCursor
 
 ROWS_PER_TURN = 100  # rows read between two turns of the event loop: one to two milliseconds of work
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
+Entry = TypeVar("Entry")
+
+
+class Row(NamedTuple):
+    """One server as discovery words it, checked."""
+
+    number: int
+    address: str  # host:port; empty for a server that is gone
+    zone: str
+    kind: str
+    cell: int
+    state: ServerState
+    weight: float
+    started_ms: int  # Unix time; 0: long ago
+
 
 @dataclass(frozen=True, slots=True)
 class Listed:
     """One server of a list; its address is kept as text, since most servers are never connected to."""
 
     entry: ServerEntry
-    address: str  # host:port, checked; empty for a server that is gone
+    address: str  # host:port; empty for a server that is gone
 
 
 @dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(Generic[Entry]):
     """A whole list or the changes since an earlier one."""
 
     generation: int
     whole: bool
-    servers: list[Listed]
-
-
-ListingSteps = Generator[None, None, Listing]
+    servers: list[Entry]
 
 
 def number_of(instance: str) -> int:
@@ -49,8 +62,77 @@
     return body.decode(json.detect_encoding(body), "surrogatepass")
 
 
+def read_row(raw: Any) -> Row:
+    state = _STATES.get(raw["lifecycle"])
+    if state is None:
+        raise ValueError(f"lifecycle is {raw['lifecycle']!r}")
+    weight = float(raw.get("weight", 1.0))
+    if not 0 <= weight < math.inf:
+        raise ValueError(f"weight is {weight}")
+    address = ""
+    if state is not ServerState.GONE:
+        address = str(raw["hostPort"])
+        read_address(address)
+    return Row(
+        number_of(str(raw["instanceId"])),
+        address,
+        sys.intern(str(raw.get("zone"))),
+        sys.intern(str(raw.get("machineType"))),
+        int(raw.get("cell", 0)),
+        state,
+        weight,
+        max(0, int(raw.get("startedAtMs", 0))),
+    )
+
+
+def listing_steps(
+    cursor: JsonCursor, convert: Callable[[Row], Entry]
+) -> Generator[None, None, Listing[Entry]]:
+    """Read the list that begins here, ROWS_PER_TURN rows in each step.
+
+    ValueError if any part is unsound.
+    """
+    try:
+        return (yield from _members(cursor, convert))
+    except (KeyError, TypeError, AttributeError, OverflowError, RecursionError) as exc:
+        raise ValueError(f"{type(exc).__name__}: {exc}") from None
+
+
+def _members(cursor: JsonCursor, convert: Callable[[Row], Entry]) -> Generator[None, None, Listing[Entry]]:
+    fields: dict[str, Any] = {}
+    for key in cursor.members():
+        if key == "instances" and cursor.begins("["):
+            fields[key] = yield from _rows(cursor, convert)
+        else:
+            fields[key] = cursor.value()
+    generation, whole, servers = fields["generation"], fields["reset"], fields["instances"]
+    if type(generation) is not int or type(whole) is not bool or type(servers) is not list:
+        raise ValueError("generation, reset or instances is of the wrong kind")
+    return Listing(generation, whole, servers)
+
+
+def _rows(cursor: JsonCursor, convert: Callable[[Row], Entry]) -> Generator[None, None, list[Entry]]:
+    servers: list[Entry] = []
+    for raw in cursor.elements():
+        servers.append(convert(read_row(raw)))
+        if len(servers) % ROWS_PER_TURN == 0:
+            yield
+    return servers
+
+
+def read_rows(cursor: JsonCursor) -> Listing[Row]:
+    """The list that begins here, at once; ValueError if any part is unsound."""
+    steps = listing_steps(cursor, lambda row: row)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            listing: Listing[Row] = stop.value
+            return listing
+
+
 class ListReader:
-    """Reads lists in discovery's form, for this balancer's clock."""
+    """Reads lists for this balancer: its numbers for zones and kinds, and its clock."""
 
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self.zones = {name: n for n, name in enumerate(zones)}
@@ -58,74 +140,31 @@
         # One offset for the whole run: starts are compared with one another.
         self.offset = time.monotonic_ns() - time.time_ns()
 
-    def read(self, text: str) -> Listing:
-        """The whole text at once; ValueError if any part is unsound."""
-        steps = self.steps(text)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as stop:
-                listing: Listing = stop.value
-                return listing
+    def convert(self, row: Row) -> Listed:
+        began = row.started_ms * 1_000_000
+        entry = ServerEntry(
+            id=row.number,
+            zone=self.zones.get(row.zone, -1),
+            cell=row.cell,
+            kind=self.kinds.get(row.kind, -1),
+            state=row.state,
+            weight=row.weight,
+            started=max(1, began + self.offset) if began else 0,
+        )
+        return Listed(entry, row.address)
+
+    async def read(self, text: str) -> Listing[Listed]:
+        """Read a list with turns of the event loop in between; ValueError if any part is unsound.
 
-    async def read_in_turns(self, text: str) -> Listing:
-        """The same with turns of the event loop in between. Cancelled, it has had no effect."""
-        steps = self.steps(text)
+        Cancelled, it has had no effect.
+        """
+        cursor = JsonCursor(text)
+        steps = listing_steps(cursor, self.convert)
         while True:
             try:
                 next(steps)
             except StopIteration as stop:
-                listing: Listing = stop.value
+                cursor.end()
+                listing: Listing[Listed] = stop.value
                 return listing
             await asyncio.sleep(0)
-
-    def steps(self, text: str) -> ListingSteps:
-        """Read ROWS_PER_TURN rows in each step; ValueError if any part is unsound."""
-        try:
-            return (yield from self._steps(JsonCursor(text)))
-        except (KeyError, TypeError, AttributeError, OverflowError, RecursionError) as exc:
-            raise ValueError(f"{type(exc).__name__}: {exc}") from None
-
-    def _steps(self, cursor: JsonCursor) -> ListingSteps:
-        fields: dict[str, Any] = {}
-        for key in cursor.members():
-            if key == "instances" and cursor.begins("["):
-                fields[key] = yield from self._rows(cursor)
-            else:
-                fields[key] = cursor.value()
-        cursor.end()
-        generation, whole, servers = fields["generation"], fields["reset"], fields["instances"]
-        if type(generation) is not int or type(whole) is not bool or type(servers) is not list:
-            raise ValueError("generation, reset or instances is of the wrong kind")
-        return Listing(generation, whole, servers)
-
-    def _rows(self, cursor: JsonCursor) -> Generator[None, None, list[Listed]]:
-        servers: list[Listed] = []
-        for row in cursor.elements():
-            servers.append(self._row(row))
-            if len(servers) % ROWS_PER_TURN == 0:
-                yield
-        return servers
-
-    def _row(self, row: Any) -> Listed:
-        state = _STATES.get(row["lifecycle"])
-        if state is None:
-            raise ValueError(f"lifecycle is {row['lifecycle']!r}")
-        weight = float(row.get("weight", 1.0))
-        if not 0 <= weight < math.inf:
-            raise ValueError(f"weight is {weight}")
-        began = int(row.get("startedAtMs", 0)) * 1_000_000
-        entry = ServerEntry(
-            id=number_of(str(row["instanceId"])),
-            zone=self.zones.get(str(row.get("zone")), -1),
-            cell=int(row.get("cell", 0)),
-            kind=self.kinds.get(str(row.get("machineType")), -1),
-            state=state,
-            weight=weight,
-            started=max(1, began + self.offset) if began > 0 else 0,
-        )
-        if state is ServerState.GONE:
-            return Listed(entry, "")
-        address = str(row["hostPort"])
-        read_address(address)
-        return Listed(entry, address)
--- a/dykeshift/node/requests.py
+++ b/dykeshift/node/requests.py
@@ -56,9 +56,9 @@
 class Reader:
     """Knows classes and tenants; turns a whole HTTP message into a request or raises BadRequest."""
 
-    def __init__(self, classes: tuple[RequestClass, ...], tenants: tuple[str, ...]) -> None:
+    def __init__(self, classes: tuple[RequestClass, ...], tenants: dict[bytes, int]) -> None:
         self.classes = classes
-        self.tenants = {name.encode(): n for n, name in enumerate(tenants)}
+        self.tenants = tenants
         self.numbers: dict[bytes, int] = {c.name.encode(): n for n, c in enumerate(classes)}
 
     def read(
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -11,7 +11,7 @@
 from time import monotonic
 
 from dykeshift.interface import LoadReport, Outcome, ServerState
-from dykeshift.node.config import read_address
+from dykeshift.node.address import read_address
 from dykeshift.node.connection import Answer, Connection
 from dykeshift.node.listing import Listed
 from dykeshift.settings import load_report
--- a/dykeshift/settings.py
+++ b/dykeshift/settings.py
@@ -41,6 +41,10 @@
         raise Malformed(f"{what} is {text!r}, expected one of {', '.join(table)}") from None
 
 
+def read_shares(raw: Any) -> tuple[float, ...]:
+    return tuple(float(need(party, "quotaPerS", "parties[].")) for party in raw.get("parties", ()))
+
+
 def read_settings(text: str) -> Settings:
     """Settings from the wire's JSON."""
     try:
@@ -50,8 +54,11 @@
     return parse_settings(raw)
 
 
-def parse_settings(raw: Any) -> Settings:
-    """Settings from parsed JSON; unknown keys are skipped, a missing one is named."""
+def parse_settings(raw: Any, shares: tuple[float, ...] | None = None) -> Settings:
+    """Settings from parsed JSON; unknown keys are skipped, a missing one is named.
+
+    `shares`: those of the tenants, where they have been read apart from the rest.
+    """
     limits, rules = need(raw, "bounds", ""), need(raw, "obligations", "")
     try:
         worst = min(0.99, float(raw.get("goal", {}).get("worstClass", 0.0)))
@@ -87,7 +94,7 @@
             step=int(raw.get("stepNs", 0)),
             worth_by_work=raw.get("valueBy") == "work",
             fairness=worst / (1 - worst),
-            shares=tuple(float(need(p, "quotaPerS", "parties[].")) for p in raw.get("parties", ())),
+            shares=read_shares(raw) if shares is None else shares,
             over_share_worth=float(raw.get("overShareWorth", 1.0)),
             retry_advice_limit=int(limits.get("maxRetryAfterNs", 0)) if limits.get("retryAfter") else 0,
         )
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -293,8 +293,7 @@
     told = told and bool(upstreams)
     if told:
         registry.put(known)
-    raw = {**configuration(registry.address, known), **changes}
-    given = config.parse(raw, None if raw["known"] is None else json.dumps(raw["known"]))
+    given = config.read(json.dumps({**configuration(registry.address, known), **changes}))
     ready: asyncio.Future[Node] = asyncio.get_running_loop().create_future()
 
     def started(front: Front, server: asyncio.Server, reload: Reload) -> None:
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -11,7 +11,7 @@
 
 from dykeshift.interface import Action, ListKind, ServerList, ServerState
 from dykeshift.node.discovery import GRACE, HOLD_MS, PUSH_GRACE, PUSH_RETRY
-from dykeshift.node.listing import ListReader, number_of
+from dykeshift.node.listing import ListReader, number_of, read_row
 from tests.node.stubs import (
     Message,
     Node,
@@ -314,11 +314,11 @@
         instance("s0", ("127.0.0.1", 1), startedAtMs=began),
         instance("s1", ("127.0.0.1", 2), "left"),
     )
-    rows = reader.read(json.dumps(listing(1, True, first, second))).servers
+    rows = [reader.convert(read_row(row)) for row in (first, second)]
     age = time.monotonic_ns() - rows[0].entry.started
     assert 2_900_000_000 < age < 60_000_000_000
     assert rows[1].entry.started == 0 and rows[1].entry.state is ServerState.GONE
-    again = reader.read(json.dumps(listing(2, True, first))).servers[0]
+    again = reader.convert(read_row(first))
     assert again.entry == rows[0].entry  # no restart where there was none
 
 
--- a/tests/node/test_listing.py
+++ b/tests/node/test_listing.py
@@ -13,8 +13,9 @@
 from dykeshift.interface import Action, ListKind, ServerList
 from dykeshift.node import config
 from dykeshift.node.json_cursor import JsonCursor
-from dykeshift.node.listing import ROWS_PER_TURN, Listed, ListReader, number_of
+from dykeshift.node.listing import ROWS_PER_TURN, Listed, ListReader, Row, number_of, read_rows
 from dykeshift.node.upstream import Pool
+from dykeshift.settings import SettingsError
 from tests.node.stubs import (
     Node,
     Registry,
@@ -27,6 +28,7 @@
     request,
     run,
     says,
+    settings,
     until,
 )
 
@@ -47,11 +49,11 @@
         self.rows = 0
         self.at: dict[int, Any] = {}
 
-    def _row(self, row: Any) -> Listed:
+    def convert(self, row: Row) -> Listed:
         self.rows += 1
         if self.rows in self.at:
             self.at[self.rows]()
-        return super()._row(row)
+        return super().convert(row)
 
 
 def count_rows(balancer: Node) -> CountingReader:
@@ -87,7 +89,7 @@
                 loop.call_soon(turn)
 
         loop.call_soon(turn)
-        got = await reader.read_in_turns(json.dumps(large()))
+        got = await reader.read(json.dumps(large()))
         assert len(got.servers) == reader.rows == LARGE
         stretches = [b - a for a, b in zip(rows_at_turn, rows_at_turn[1:], strict=False)]
         assert max(stretches) <= ROWS_PER_TURN and len(stretches) >= LARGE // ROWS_PER_TURN
@@ -172,7 +174,7 @@
 )
 def test_the_members_of_a_list_come_in_any_order(order: tuple[str, ...]) -> None:
     whole = large(250, generation=7)
-    got = CountingReader().read(json.dumps({key: whole[key] for key in order}))
+    got = read_rows(JsonCursor(json.dumps({key: whole[key] for key in order})))
     assert (got.generation, got.whole, len(got.servers)) == (7, True, 250)
 
 
@@ -233,8 +235,10 @@
     async def main() -> None:
         pool = Pool(asyncio.get_running_loop(), 10, 1.0, 10.0)
         text = json.dumps(large(count))
-        reader = CountingReader()
-        objects, _ = tracked_by(lambda: pool.replace(reader.read(text).servers))
+        convert = CountingReader().convert
+        objects, _ = tracked_by(
+            lambda: pool.replace([convert(row) for row in read_rows(JsonCursor(text)).servers])
+        )
         assert objects <= 2 * count + 20
         assert len(pool.listed) == count and not pool.upstreams
 
@@ -260,10 +264,43 @@
     run(main())
 
 
-@pytest.mark.parametrize("known", [None, large(10), large(LARGE)])
-def test_the_known_list_is_held_as_text_until_it_is_read(known: Any, tmp_path: Path) -> None:
+@pytest.mark.parametrize("count", [10, LARGE])
+def test_a_configuration_holds_one_object_for_each_known_server_and_none_for_a_tenant(
+    count: int, tmp_path: Path
+) -> None:
     path = tmp_path / "config.json"
-    path.write_text(json.dumps(configuration(("127.0.0.1", 9), known)))
+    parties = [{"name": f"t{n}", "quotaPerS": n + 0.5} for n in range(2 * count)]
+    raw = configuration(("127.0.0.1", 9), large(count))
+    path.write_text(json.dumps({**raw, "settings": settings(parties=parties)}))
     objects, given = tracked_by(lambda: config.load(str(path)))
-    assert objects < 100
-    assert given.known is None if known is None else json.loads(given.known) == known
+    assert objects <= count + 100
+    assert len(given.known.servers) == count
+    assert given.tenants == {f"t{n}".encode(): n for n in range(2 * count)}
+    assert given.settings.shares == tuple(n + 0.5 for n in range(2 * count))
+
+
+@pytest.mark.parametrize("known", [None, {}, [], 5, {"generation": 1, "reset": True, "instances": [{}]}])
+def test_a_configuration_holds_without_a_sound_known_list(known: Any) -> None:
+    raw = json.dumps({**configuration(("127.0.0.1", 9)), "known": known, "seed": "last"})
+    given = config.read(raw)
+    assert given.known is None and given.seed == int.from_bytes(b"last", "big")
+
+
+def test_the_reading_of_a_configuration_goes_by_json_alone() -> None:
+    """Whatever the order of its members; of those that come twice the last one holds."""
+    raw = configuration(("127.0.0.1", 9), large(3))
+    text = json.dumps({key: raw[key] for key in reversed(raw)}, indent=3)
+    plain = config.read(json.dumps(raw))
+    assert config.read(text) == plain
+    assert config.read(text[:-1] + ',"known":null}').known is None
+
+
+@pytest.mark.parametrize(
+    "party", [5, None, [], {}, {"name": "x"}, {"quotaPerS": 1.0}, {"x": {"name": "x", "quotaPerS": 1.0}}]
+)
+def test_a_tenant_without_its_name_or_share_is_no_sound_configuration(party: Any) -> None:
+    raw = configuration(("127.0.0.1", 9))
+    with pytest.raises(SettingsError):
+        config.read(
+            json.dumps({**raw, "settings": settings(parties=[{"name": "a", "quotaPerS": 1.0}, party])})
+        )
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -89,7 +89,7 @@
     ],
 )
 def test_connections_are_bounded_by_descriptors_and_memory(limits: dict[str, int], most: int) -> None:
-    assert config.parse({**configuration(("127.0.0.1", 9)), "limits": limits}).connections == most
+    assert config.read(broken(limits=limits)).connections == most
 
 
 def test_no_configuration_is_one_line_and_exit_2() -> None:
