Stop sending by the old list while a long one is read beyond a part of the drain grace

Cause: a list read in turns of the loop lets requests go out meanwhile by the list before it, to servers that the new one shows as draining: with 6,400 rows and a short grace the reading alone takes most of that grace on a slow machine. Change: once reading has taken 0.4 of the grace, the rest is read and taken over in one stretch, so that nothing goes out in between; a first list, before which there is no server to send to, is read in turns throughout. Result: held by counts in tests that force the crossing; without the limit the draining server gets the request.

--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import math
+import time
 from collections.abc import Callable
 
 from dykeshift.interface import ListKind
@@ -19,6 +21,7 @@
 GRACE = 1.0  # seconds more until a watch that said nothing counts as failed
 CONNECT = 1.0  # seconds
 MAX_LIST = 4 * 1024 * 1024
+READ_SHARE = 0.4  # of the drain grace: while a list is read for longer, nothing goes out by the old one
 # Of the drain grace, for an agent on this machine: it answers a call that it need not hold at once, or is
 # silent, and is asked again at no cost. Both together leave time to stop sending.
 PUSH_GRACE, PUSH_RETRY = 0.4, 0.2
@@ -63,6 +66,7 @@
         self.reader = reader
         self.apply = apply
         self.failed = failed
+        self.listed = False  # there are servers from an earlier list, to which requests go
         self.generation: int | None = None  # None: no list yet, so the whole one is asked for
         self.lost = False  # the last call failed: the next one is not held
         self.asked = asyncio.Event()  # a call has come to its end, be it with nothing
@@ -78,6 +82,7 @@
         """
         if known is None:
             return
+        self.listed = bool(known.servers)
         self.apply(ListKind.CACHED, [self.reader.convert(row) for row in known.servers])
         if not self.pushed:
             self.generation = known.generation
@@ -175,8 +180,9 @@
         """
         if answer.status != 200:
             return False
+        turns = READ_SHARE * self.drain_grace if self.listed else math.inf
         try:
-            listing = await self.reader.read(decode(answer.body))
+            listing = await self.reader.read(decode(answer.body), time.monotonic() + turns)
         except ValueError as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
@@ -190,6 +196,7 @@
             return True
         if whole or listing.servers:
             log.info("%s %d: %d servers", "list" if whole else "change", generation, len(listing.servers))
+        self.listed = self.listed or bool(listing.servers)
         sound = self.apply(ListKind.FULL if whole else ListKind.DELTA, listing.servers)
         # What the module failed over it may hold in part: the whole list is asked for next.
         self.generation = generation if sound else None
--- a/dykeshift/node/listing.py
+++ b/dykeshift/node/listing.py
@@ -153,10 +153,11 @@
         )
         return Listed(entry, row.address)
 
-    async def read(self, text: str) -> Listing[Listed]:
+    async def read(self, text: str, turns_until: float = math.inf) -> Listing[Listed]:
         """Read a list with turns of the event loop in between; ValueError if any part is unsound.
 
-        Cancelled, it has had no effect.
+        From `turns_until` (time.monotonic) on there are no more turns: nothing goes out any more by the
+        old list. Cancelled, it has had no effect.
         """
         cursor = JsonCursor(text)
         steps = listing_steps(cursor, self.convert)
@@ -167,4 +168,5 @@
                 cursor.end()
                 listing: Listing[Listed] = stop.value
                 return listing
-            await asyncio.sleep(0)
+            if time.monotonic() < turns_until:
+                await asyncio.sleep(0)
--- a/tests/node/test_listing.py
+++ b/tests/node/test_listing.py
@@ -17,6 +17,7 @@
 from dykeshift.node.upstream import Pool
 from dykeshift.settings import SettingsError
 from tests.node.stubs import (
+    Message,
     Node,
     Registry,
     Stub,
@@ -97,6 +98,55 @@
     run(main())
 
 
+def test_without_time_for_turns_the_rest_is_read_at_once() -> None:
+    async def main() -> None:
+        reader = CountingReader()
+        loop = asyncio.get_running_loop()
+        seen: list[int] = []
+        reader.at[1] = lambda: loop.call_soon(lambda: seen.append(reader.rows))
+        await reader.read(json.dumps(large()), turns_until=0.0)
+        await asyncio.sleep(0)
+        assert seen == [LARGE]
+
+    run(main())
+
+
+def test_a_drain_in_a_large_list_is_honoured_however_long_the_list_is_read() -> None:
+    """Requests are served meanwhile, by the old list: no longer than a part of the drain grace."""
+
+    async def main() -> None:
+        stub, other = await Stub(says(answer())).start(), await Stub(says(answer())).start()
+        hurried = settings()
+        hurried["obligations"]["drainGraceNs"] = 0  # its part is over before the first row
+        async with node(stub, settings=hurried) as balancer:
+            reader = count_rows(balancer)
+            asking: list[asyncio.Task[Message]] = []
+            reader.at[1] = lambda: asking.append(asyncio.create_task(balancer.ask(request())))
+            whole = large(10 * ROWS_PER_TURN, state="leaving")
+            whole["instances"] += [instance("s0", stub.address, "leaving"), instance("s1", other.address)]
+            balancer.registry.put(whole)
+            await until(lambda: bool(asking))
+            assert (await asking[0]).body == b"done"
+            assert not stub.seen and len(other.seen) == 1
+
+    run(main())
+
+
+def test_the_first_list_is_read_in_turns_however_long_that_takes() -> None:
+    async def main() -> None:
+        hurried = settings()
+        hurried["obligations"]["drainGraceNs"] = 0
+        async with node(settings=hurried) as balancer:
+            reader = count_rows(balancer)
+            seen: list[int] = []
+            reader.at[1] = lambda: asyncio.get_running_loop().call_soon(lambda: seen.append(reader.rows))
+            balancer.registry.put(large())
+            await until(lambda: len(balancer.front.driver.pool.listed) == LARGE)
+            assert seen == [ROWS_PER_TURN]
+
+    run(main())
+
+
 def test_requests_are_served_while_a_large_list_is_read() -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
