Run changes of the settings at 420 balancers through lost control machines and a split

python -m emulator control: three control machines, 420 agents, 8 real run processes under light traffic and 412 hollow balancers (real settings client, real module), with changes, two of three machines lost, a region split with changes on both sides, bad changes, and all balancers restarting at once. JSON lines, a table, exit codes as in emulator/errors.py; children end with their standard input.

--- a/emulator/cli.py
+++ b/emulator/cli.py
@@ -8,6 +8,7 @@
 
 # Command name -> module that defines a click command named `command`.
 COMMAND_MODULES: dict[str, str] = {
+    "control": "emulator.control.command",
     "slopes": "emulator.slopes.command",
 }
 
--- /dev/null
+++ b/emulator/control/command.py
@@ -0,0 +1,73 @@
+"""`python -m emulator control`: settings that change in service, at the size of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from emulator.control import supervisor
+from emulator.control.results import RunResult, StepResult, missed_bars
+from emulator.control.scenario import DEFAULT, QUICK, Scenario, load
+from emulator.errors import BarFailedError
+
+INTERRUPTED = 130  # the exit code of a run that SIGINT ended
+
+
+def print_line(result: StepResult | RunResult) -> None:
+    """One result as a JSON line."""
+    click.echo(msgspec.json.encode(result).decode())
+
+
+def print_table(result: RunResult, bar_s: float) -> None:
+    """The whole run, for people."""
+    table = Table(title=f"Settings in service at {result.balancers} balancers, {result.seconds:.0f} s")
+    for column in ("figure", "value", "bar"):
+        table.add_column(column, justify="left" if column == "figure" else "right")
+    table.add_row("versions accepted / changes refused", f"{result.versions} / {result.refused}", "")
+    table.add_row("until in force, p50", f"{result.p50:.3f} s", "")
+    table.add_row("until in force, p99", f"{result.p99:.3f} s", "")
+    table.add_row("until in force, longest", f"{result.most:.3f} s", f"{bar_s:g} s")
+    table.add_row("older versions served", str(result.backwards), "0")
+    table.add_row("starts of balancers", str(result.starts), "")
+    table.add_row("requests", str(result.requests), "")
+    table.add_row("requests refused or failed", str(result.failed), "0")
+    table.add_row("requests lost", str(result.lost), "0")
+    table.add_row("unsafe requests sent twice", str(result.repeated), "0")
+    table.add_row("bytes a balancer and second", f"{result.bytes_per_s:.0f}", "")
+    table.add_row("processor time of a balancer", f"{result.cpu_share:.3%} of a core", "")
+    Console(stderr=True).print(table)
+
+
+async def _run(scenario: Scenario) -> RunResult:
+    """The run, which SIGINT and SIGTERM cancel: it ends all its children first."""
+    task = asyncio.ensure_future(supervisor.run(scenario, print_line))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    return await task
+
+
+@click.command(name="control")
+@click.argument("scenario", type=click.Path(path_type=Path), required=False)
+@click.option("--quick", is_flag=True, help="The same story in less than a minute.")
+def command(scenario: Path | None, quick: bool) -> None:
+    """Change the settings of a whole fleet in service, through lost control machines and a split.
+
+    SCENARIO is a TOML file; without one, the scenario that comes with the emulator is run.
+    """
+    wanted = load(scenario or (QUICK if quick else DEFAULT))
+    try:
+        result = asyncio.run(_run(wanted))
+    except asyncio.CancelledError:
+        raise click.exceptions.Exit(INTERRUPTED) from None
+    print_line(result)
+    print_table(result, wanted.bar_s)
+    missed = missed_bars(result, wanted.bar_s)
+    if missed:
+        raise BarFailedError("; ".join(missed))
--- a/emulator/control/contract.py
+++ b/emulator/control/contract.py
@@ -158,6 +158,14 @@
     reason: str
 
 
+class RequestFailed(msgspec.Struct, frozen=True, tag=True):
+    """A request was refused, failed or lost."""
+
+    balancer: int
+    what: str
+    after_ms: float
+
+
 class AgentTotals(msgspec.Struct, frozen=True, tag=True):
     """Bytes between all balancers and their agents."""
 
@@ -177,4 +185,4 @@
     restarted: int = 0  # open at a balancer that was killed
 
 
-Report = Ready | InForce | Started | TurnedDown | AgentTotals | RequestTotals
+Report = Ready | InForce | Started | TurnedDown | RequestFailed | AgentTotals | RequestTotals
--- /dev/null
+++ b/emulator/control/supervisor.py
@@ -0,0 +1,323 @@
+"""Runs a scenario: starts the processes, takes the steps, and says what was measured."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from dykeshift.node.call import Caller
+from emulator.control import scenario as steps
+from emulator.control.contract import (
+    MACHINE_BLOCK,
+    AddressPlan,
+    AgentsConfig,
+    AgentTotals,
+    Begin,
+    Cut,
+    Finish,
+    HollowConfig,
+    InForce,
+    MachineConfig,
+    Measure,
+    Reach,
+    RealConfig,
+    Report,
+    RequestFailed,
+    RequestTotals,
+    Restart,
+    Started,
+    TrafficConfig,
+    TurnedDown,
+)
+from emulator.control.machine import PublishReply, PublishRequest
+from emulator.control.measures import Measures
+from emulator.control.process import Child
+from emulator.control.results import ChangeResult, FailedResult, RefusedResult, RunResult, StepResult
+
+PUBLISH_TIMEOUT = 5.0  # seconds
+PUBLISH_TRIES = 5  # of one change, under its id
+FINISH_TIMEOUT = 20.0  # seconds for the last requests
+POLL = 0.01  # seconds between two looks whether a version is in force everywhere
+SLACK = 2.0  # times the bar: how long a step waits for that before it goes on
+START_WAIT = 60.0  # seconds for all balancers to be started again
+
+
+class StepFailedError(Exception):
+    """A step could not be taken as the scenario says."""
+
+
+def free_port() -> int:
+    """A port that is free on loopback now."""
+    with socket.socket() as probe:
+        probe.bind((f"127.{MACHINE_BLOCK}.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Supervisor:
+    """One run."""
+
+    def __init__(self, scenario: steps.Scenario, emit: Callable[[StepResult], None], folder: Path) -> None:
+        self.scenario = scenario
+        self.emit = emit
+        self.folder = folder
+        self.base = steps.base_settings()
+        self.addresses = AddressPlan(free_port(), free_port(), free_port())
+        self.measures = Measures(scenario.balancers)
+        self.machines: dict[int, Child] = {}
+        self.others: list[Child] = []  # agents, hollow balancers, traffic and real balancers
+        self.request_totals: list[RequestTotals] = []
+        self.agent_totals: asyncio.Queue[AgentTotals] = asyncio.Queue()
+        self.began = time.monotonic()
+        self.changes = 0
+        self.split: int | None = None  # the region that is cut off
+        self.refused = 0
+        self.problems: list[str] = []
+
+    # ---- processes ----
+
+    async def run(self) -> RunResult:
+        """The whole scenario; all children are gone when this returns or raises."""
+        try:
+            await self._start()
+            self.began, cpu = time.monotonic(), self._quiet_cpu()
+            for step in self.scenario.steps:
+                await self._take(step)
+            seconds, cpu = time.monotonic() - self.began, self._quiet_cpu() - cpu
+            await self._finish()
+            return await self._result(seconds, cpu)
+        finally:
+            await asyncio.gather(*(child.end() for child in [*self.others, *self.machines.values()]))
+
+    async def _start(self) -> None:
+        scenario, seed = self.scenario, self.scenario.seed
+        await asyncio.gather(*(self._start_machine(n) for n in range(scenario.machines)))
+        agents = AgentsConfig(scenario.regions(), scenario.machines, self.addresses, seed)
+        self.agents = await self._start_other("agents", agents)
+        traffic = TrafficConfig(
+            scenario.real(), self.addresses, scenario.servers, scenario.real_requests_per_s, seed
+        )
+        self.traffic = Child("emulator.control.traffic", traffic, self._on_report)
+        self.others.append(self.traffic)
+        discovery_port = (await self.traffic.start()).discovery_port
+        real = RealConfig(scenario.real(), self.base, self.addresses, discovery_port, seed)
+        hollow = [
+            HollowConfig(n, scenario.hollow(n), self.base, self.addresses, self._hollow_rate(n), seed)
+            for n in range(scenario.hollow_processes)
+        ]
+        self.real = await self._start_other("real", real)
+        self.hollow = [await self._start_other("hollow", config) for config in hollow]
+        await self._wait_started(scenario.balancers)
+        self.traffic.tell(Begin())
+
+    def _hollow_rate(self, process: int) -> float:
+        """The first process has no requests, so that its processor time shows what the settings cost."""
+        return self.scenario.hollow_requests_per_s if process else 0.0
+
+    async def _start_machine(self, index: int) -> None:
+        path = str(self.folder / f"machine{index}.log")
+        config = MachineConfig(index, self.scenario.machines, self.addresses, path, self.scenario.seed)
+        child = Child("emulator.control.machine", config, self._on_report)
+        self.machines[index] = child
+        await child.start()
+
+    async def _start_other(self, name: str, config: msgspec.Struct) -> Child:
+        child = Child(f"emulator.control.{name}", config, self._on_report)
+        self.others.append(child)
+        await child.start()
+        return child
+
+    def _on_report(self, report: Report) -> None:
+        if isinstance(report, InForce):
+            self.measures.on_in_force(report)
+        elif isinstance(report, Started):
+            self.measures.on_started(report)
+        elif isinstance(report, TurnedDown):
+            self.measures.on_turned_down(report)
+        elif isinstance(report, RequestFailed):
+            self.emit(
+                FailedResult(report.balancer, report.what, report.after_ms, time.monotonic() - self.began)
+            )
+        elif isinstance(report, RequestTotals):
+            self.request_totals.append(report)
+        elif isinstance(report, AgentTotals):
+            self.agent_totals.put_nowait(report)
+
+    def _quiet_cpu(self) -> float:
+        return self.hollow[0].cpu_seconds()
+
+    async def _wait_started(self, count: int) -> None:
+        async with asyncio.timeout(START_WAIT):
+            while self.measures.starts < count:
+                await asyncio.sleep(POLL)
+
+    async def _finish(self) -> None:
+        self.request_totals.clear()
+        children = [*self.hollow, self.traffic]
+        for child in children:
+            child.tell(Finish())
+        self.agents.tell(Measure())
+        async with asyncio.timeout(FINISH_TIMEOUT):
+            while len(self.request_totals) < len(children):
+                await asyncio.sleep(POLL)
+
+    # ---- steps ----
+
+    async def _take(self, step: steps.Step) -> None:
+        if isinstance(step, steps.Change):
+            for n in range(step.count):
+                await self._change(step.machines[n % len(step.machines)])
+                await asyncio.sleep(step.every_s)
+        elif isinstance(step, steps.Refused):
+            for _ in range(step.count):
+                await self._expect_refused(step.do, step.machine, 503, steps.varied(self.base, self.changes))
+        elif isinstance(step, steps.Bad):
+            await self._expect_refused(step.do, 0, 400, steps.spoiled(self.base))
+        elif isinstance(step, steps.BadUnchecked):
+            await self._change_badly()
+        elif isinstance(step, steps.Lose):
+            await asyncio.gather(*(self.machines[n].kill() for n in step.machines))
+        elif isinstance(step, steps.Recover):
+            await asyncio.gather(*(self._start_machine(n) for n in step.machines))
+        elif isinstance(step, steps.Split):
+            self._cut(step.region)
+        elif isinstance(step, steps.Heal):
+            self._cut(None)
+        elif isinstance(step, steps.Restart):
+            await self._restart(step.count)
+        else:
+            await asyncio.sleep(step.seconds)
+
+    async def _publish(
+        self, machine: int, settings: dict[str, Any], unchecked: bool = False
+    ) -> tuple[int, PublishReply]:
+        """Status and reply; a change of unknown fate is sent again under its id."""
+        self.changes += 1
+        body = msgspec.json.encode(PublishRequest(f"change-{self.changes}", settings, unchecked))
+        for attempt in range(PUBLISH_TRIES):
+            address = self.addresses.machine(machine)
+            caller = Caller(asyncio.get_running_loop(), (address.host, address.port), 1024 * 1024)
+            try:
+                answer = await caller.call("/v1/settings", PUBLISH_TIMEOUT, body)
+            except (OSError, TimeoutError) as exc:
+                raise StepFailedError(f"machine {machine} did not answer a change: {exc}") from None
+            finally:
+                caller.close()
+            reply: PublishReply = msgspec.json.decode(answer.body, type=PublishReply)
+            if answer.status != 504 or attempt == PUBLISH_TRIES - 1:
+                return answer.status, reply
+        raise AssertionError("unreachable")
+
+    async def _change(self, machine: int) -> None:
+        asked = time.monotonic_ns()
+        status, reply = await self._publish(machine, steps.varied(self.base, self.changes))
+        if status != 200:
+            self.problems.append(f"machine {machine} did not accept a sound change: {reply.error}")
+            return
+        version = reply.version
+        self.measures.accepted[version] = asked
+        await self._wait_in_force(version)
+        delay, missing = self.measures.delays(version)
+        cut = set(self._cut_off())
+        missing = [balancer for balancer in missing if balancer not in cut]
+        if missing:
+            self.problems.append(f"version {version} is not in force at {len(missing)} balancers")
+        self.emit(ChangeResult(version, machine, delay.balancers, delay.p50, delay.p99, delay.most))
+
+    def _cut_off(self) -> list[int]:
+        return [] if self.split is None else self.scenario.regions()[self.split]
+
+    async def _wait_in_force(self, version: int) -> None:
+        """Wait until all that can hear of it have it, or until well after the bar."""
+        wanted = set(range(self.scenario.balancers)) - set(self._cut_off())
+        until = time.monotonic() + SLACK * self.scenario.bar_s
+        while time.monotonic() < until:
+            if all(self.measures.newest.get(balancer, 0) >= version for balancer in wanted):
+                return
+            await asyncio.sleep(POLL)
+
+    async def _expect_refused(self, what: str, machine: int, status: int, settings: dict[str, Any]) -> None:
+        got, reply = await self._publish(machine, settings)
+        if got != status or not reply.error or "\n" in reply.error:
+            self.problems.append(f"machine {machine} answered {got} {reply.error!r} instead of {status}")
+        self.refused += 1
+        self.emit(RefusedResult(what, machine, got, reply.error))
+
+    async def _change_badly(self) -> None:
+        """All balancers turn it down with one line each, and keep what they have."""
+        status, reply = await self._publish(0, steps.spoiled(self.base), unchecked=True)
+        until = time.monotonic() + SLACK * self.scenario.bar_s
+        told = self.measures.turned_down[reply.version]
+        while len(told) < self.scenario.balancers and time.monotonic() < until:
+            await asyncio.sleep(POLL)
+        if len(told) < self.scenario.balancers:
+            self.problems.append(f"{len(told)} balancers turned the bad version {reply.version} down")
+        if max(self.measures.newest.values()) >= reply.version:
+            self.problems.append(f"the bad version {reply.version} is in force")
+        self.emit(RefusedResult("bad_unchecked", 0, status, next(iter(told.values()), ""), len(told)))
+
+    def _cut(self, region: int | None) -> None:
+        """Cut one region off, with its machine; None: the split is over."""
+        everyone = range(self.scenario.machines)
+        healed = self._cut_off()
+        self.split = region
+        for index, child in self.machines.items():
+            others = [n for n in everyone if n != index and region in (n, index)]
+            child.tell(Cut(others))
+        reach = [[m for m in everyone if region is None or (m == region) == (n == region)] for n in everyone]
+        self.agents.tell(Reach(reach))
+        for balancer in healed:
+            self.measures.reachable[balancer].append(time.monotonic_ns())
+
+    async def _restart(self, count: int) -> None:
+        total = self.scenario.balancers
+        chosen = list(range(0, total, max(1, total // count)))[:count] if count else list(range(total))
+        wanted = self.measures.starts + len(chosen)
+        self.measures.on_restarting(chosen)
+        for n, child in enumerate(self.hollow):
+            child.tell(Restart([b for b in self.scenario.hollow(n) if b in set(chosen)]))
+        self.real.tell(Restart([b for b in self.scenario.real() if b in set(chosen)]))
+        await self._wait_started(wanted)
+
+    # ---- the end ----
+
+    async def _result(self, seconds: float, quiet_cpu: float) -> RunResult:
+        scenario, measures = self.scenario, self.measures
+        late = [v for v in measures.accepted if measures.delays(v)[1]]
+        if late:
+            self.problems.append(f"versions {late} are not in force everywhere at the end")
+        agents = await asyncio.wait_for(self.agent_totals.get(), FINISH_TIMEOUT)
+        delay = measures.all_delays()
+        return RunResult(
+            balancers=scenario.balancers,
+            seconds=seconds,
+            versions=len(measures.accepted),
+            refused=self.refused,
+            samples=delay.balancers,
+            p50=delay.p50,
+            p99=delay.p99,
+            most=delay.most,
+            backwards=len(measures.backwards),
+            starts=measures.starts,
+            repeated_lines=measures.repeated_lines,
+            requests=sum(t.requests for t in self.request_totals),
+            failed=sum(t.refused + t.failed for t in self.request_totals),
+            lost=sum(t.lost for t in self.request_totals),
+            repeated=sum(t.repeated for t in self.request_totals),
+            killed_with_balancers=sum(t.restarted for t in self.request_totals),
+            bytes_per_s=(agents.to_agents + agents.to_balancers) / scenario.balancers / seconds,
+            cpu_share=quiet_cpu / len(scenario.hollow(0)) / seconds,
+            problems=self.problems,
+        )
+
+
+async def run(scenario: steps.Scenario, emit: Callable[[StepResult], None]) -> RunResult:
+    """Run a scenario in a folder of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await Supervisor(scenario, emit, Path(folder)).run()
