Pass over the known list where the configuration is read anew at SIGHUP

Cause: a reload uses the address of discovery alone, yet it checked each row of the known list, holding the loop all the while. Change: the list is passed over row by row; tenants that are no list are an error again, as before the configuration was read in parts.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -120,8 +120,8 @@
             raise config.ConfigError("NODE_CONFIG is not set; it names the configuration file")
         # It would end the program; one that comes before there is a handler waits until there is.
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
-        load = partial(config.load, path)
-        uvloop.run(serve(load(), load))
+        reload = partial(config.load, path, with_known=False)  # the list held is newer
+        uvloop.run(serve(config.load(path), reload))
     except config.ConfigError as exc:
         print(f"balancer: {exc}", file=sys.stderr)
         return 2
--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -57,26 +57,28 @@
         return None
 
 
-def load(path: str) -> Config:
+def load(path: str, with_known: bool = True) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
             text = file.read()
     except (OSError, ValueError) as exc:
         raise ConfigError(f"cannot read the configuration {path!r}: {exc}") from None
     try:
-        return read(text)
+        return read(text, with_known)
     except (Malformed, ValueError, TypeError, AttributeError, RecursionError) as exc:
         raise ConfigError(f"bad configuration {path!r}: {exc}") from None
 
 
-def read(text: str) -> Config:
+def read(text: str, with_known: bool = True) -> Config:
     """The configuration from its JSON, whose longest parts are never held as objects all at once."""
     cursor = JsonCursor(text)
     raw: dict[str, Any] = {}
     tenants, known = Tenants(), None
     for key in cursor.members():
-        if key == "known":
+        if key == "known" and with_known:
             known = read_known(cursor)
+        elif key == "known":
+            skip_known(cursor)
         elif key == "settings" and cursor.begins("{"):
             raw[key], tenants = read_settings_members(cursor)
         else:
@@ -90,7 +92,7 @@
     raw: dict[str, Any] = {}
     tenants = Tenants()
     for key in cursor.members():
-        if key == "parties" and cursor.begins("["):
+        if key == "parties":
             tenants = read_tenants(cursor)
         else:
             raw[key] = cursor.value()
@@ -98,6 +100,8 @@
 
 
 def read_tenants(cursor: JsonCursor) -> Tenants:
+    if not cursor.begins("["):
+        raise SettingsError("settings.parties is no list")
     tenants = Tenants()
     parties = cursor.value(json.JSONDecoder(object_pairs_hook=tenants.add).raw_decode)
     if len(parties) != len(tenants.shares) or any(party is not None for party in parties):
@@ -107,18 +111,31 @@
 
 def read_known(cursor: JsonCursor) -> Listing[Row] | None:
     """The list that begins here; one that is unsound is dropped, the rest of the configuration holds."""
-    if cursor.begins("null"):
-        return cursor.value()  # type: ignore[no-any-return]
+    unknown = cursor.begins("null")
     start = cursor.position
     try:
         return read_rows(cursor)
     except ValueError as exc:
-        log.warning("the known list is dropped: %s", exc)
+        if not unknown:
+            log.warning("the known list is dropped: %s", exc)
     cursor.position = start
     cursor.value()
     return None
 
 
+def skip_known(cursor: JsonCursor) -> None:
+    """Pass over the list that begins here, row by row, as its objects at once would take much memory."""
+    if not cursor.begins("{"):
+        cursor.value()
+        return
+    for key in cursor.members():
+        if key == "instances" and cursor.begins("["):
+            for _ in cursor.elements():
+                pass
+        else:
+            cursor.value()
+
+
 def most_connections(limits: dict[str, Any]) -> int:
     """Of either kind, so that neither descriptors nor memory run out when all of them are full.
 
--- a/tests/node/test_listing.py
+++ b/tests/node/test_listing.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import json
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -348,6 +349,19 @@
     assert config.read(text[:-1] + ',"known":null}').known is None
 
 
+@pytest.mark.parametrize("known", [None, {}, [], 5, large(3), {"instances": [{}], "x": [1]}])
+def test_a_configuration_that_is_read_anew_is_the_same_without_its_known_list(known: Any) -> None:
+    raw = json.dumps({**configuration(("127.0.0.1", 9)), "known": known, "seed": "last"})
+    assert config.read(raw, with_known=False) == replace(config.read(raw), known=None)
+
+
+@pytest.mark.parametrize("parties", [None, 5, {}, "x"])
+def test_tenants_that_are_no_list_are_no_sound_configuration(parties: Any) -> None:
+    raw = configuration(("127.0.0.1", 9))
+    with pytest.raises(SettingsError):
+        config.read(json.dumps({**raw, "settings": settings(parties=parties)}))
+
+
 @pytest.mark.parametrize(
     "party", [5, None, [], {}, {"name": "x"}, {"quotaPerS": 1.0}, {"x": {"name": "x", "quotaPerS": 1.0}}]
 )
