Split the list's and the draw's longest methods and give plain names in the module

_retry_watch leaves on_list, the draw sorts servers into three named lists in plain branches; _choose_pool, _counts_text, _weigh_classes, actions and pool_capacity replace words of our own. Actions are the same over 29 random histories.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -78,7 +78,7 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """One server as this instance sees it."""
+    """What this instance has learned of one server."""
 
     entry: ServerEntry
     room: float  # how many of our attempts it has shown it carries at once
@@ -104,6 +104,8 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
+    """One try of a request at one server."""
+
     server: Server
     sent: int
     end: Outcome | None = None  # None: still out
@@ -242,11 +244,13 @@
     counts[name] = counts.get(name, 0) + 1
 
 
-def _told(counts: dict[str, int]) -> str:
+def _counts_text(counts: dict[str, int]) -> str:
     return " ".join(f"{name}:{n}" for name, n in sorted(counts.items())) or "-"
 
 
 class Balancer:
+    """One instance: takes events with their time, returns the actions to carry out."""
+
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.seed = seed
@@ -268,42 +272,34 @@
         self.yielded = 0.0  # part of the latest requests that a server answered
         self.watch_failures = 0
         self.watched = False  # discovery has told of its list, or has moved, and no call has failed since
-        self.whole = 1.0  # servers of the pool, cold ones by their warmth
+        self.pool_capacity = 1.0  # servers of the pool, cold ones by their warmth
         self.patience = [0] * len(settings.classes)  # of the latest first try
         self.shares = TenantShares(settings)
         self.gave_up: dict[str, int] = {}  # requests, by reason, until the next report
         self.ends: dict[str, int] = {}  # of attempts at all servers, by class, until the next report
-        self.acts: list[Action] = []
+        self.actions: list[Action] = []
 
     def _done(self) -> list[Action]:
-        acts, self.acts = self.acts, []
-        return acts
+        actions, self.actions = self.actions, []
+        return actions
 
     # ---- the list of servers ----
 
     def on_start(self, now: int) -> list[Action]:
         if self.settings.ask_discovery:
-            self.acts.append(Watch())
+            self.actions.append(Watch())
         return self.on_timer(now, "sweep")
 
     def on_discovery_moved(self, now: int) -> list[Action]:
         """Another discovery answers from now on: asked at once, and not blamed for the old one's failures."""
         self.watch_failures, self.watched = 0, True
         if self.settings.ask_discovery:
-            self.acts.append(Watch())
+            self.actions.append(Watch())
         return self._done()
 
     def on_list(self, now: int, update: ServerList) -> list[Action]:
         if update.kind in (ListKind.FAILED, ListKind.BROKEN):
-            if self.settings.ask_discovery:
-                # Well before it counts as told. All may have failed together, as one queue serves them all:
-                # sooner or closer to one another, their repeats would keep it full and all fail again.
-                share = WATCH_SHARE * self.settings.balancers * 2**self.watch_failures
-                pause = self.settings.ask_every * min(share, 1.0)
-                if update.kind is ListKind.BROKEN and self.watched:  # no full queue
-                    pause = min(pause, RENEW * 1e9)
-                self.watch_failures, self.watched = min(self.watch_failures + 1, 4), False
-                self.acts.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+            self._retry_watch(now, update.kind)
             return self._done()
         if update.kind is not ListKind.CACHED:
             self.watch_failures, self.watched = 0, True
@@ -317,7 +313,7 @@
         if len(self.fleet.entries) <= KEPT:
             for number in sorted(fresh):
                 self._meet(number)
-        self._gather(now)
+        self._choose_pool(now)
         if room is None:
             room = self.first_room = ROOM / self._sharers()
         met = self.servers.keys() & fresh
@@ -327,6 +323,19 @@
         self.first_room += min(1.0, (len(fresh) - len(met)) / unmet) * (room - self.first_room)
         return self._done()
 
+    def _retry_watch(self, now: int, failure: ListKind) -> None:
+        """Watch anew after a pause that doubles with each failure, well before a change counts as told."""
+        if not self.settings.ask_discovery:
+            return
+        # All may have failed together, as one queue serves them all: sooner or closer to one another,
+        # their repeats would keep it full and all fail again.
+        share = WATCH_SHARE * self.settings.balancers * 2**self.watch_failures
+        pause = self.settings.ask_every * min(share, 1.0)
+        if failure is ListKind.BROKEN and self.watched:  # no full queue
+            pause = min(pause, RENEW * 1e9)
+        self.watch_failures, self.watched = min(self.watch_failures + 1, 4), False
+        self.actions.append(SetTimer("watch", now + int(pause * (0.5 + 0.5 * self.random()))))
+
     def _relist(self, server: Server, fresh: set[int]) -> None:
         """Bring a server's entry up to date; one whose process is known is taken from the fresh ones."""
         number = server.entry.id
@@ -365,7 +374,7 @@
         """Attempts of the other instances at a server, if they have as many there as this one on average."""
         return sum(s.used for s in self.pool) / max(1, len(self.pool)) * (self._sharers() - 1)
 
-    def _gather(self, now: int) -> None:
+    def _choose_pool(self, now: int) -> None:
         """The pool: no more servers than this instance has requests enough for to know each.
 
         Met more seldom, what was learned of a server is no longer true, and connections cost too much.
@@ -374,7 +383,7 @@
         size = max(POOL_LEAST * DRAW, int(met / MET))
         self.pool = [self._meet(number) for number in self._reachable_first(now, size)]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
-        self.whole = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
+        self.pool_capacity = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
 
     def _reachable_first(self, now: int, size: int) -> list[int]:
         """That many of the ready servers from this instance's place on, unreachable ones last."""
@@ -396,24 +405,28 @@
 
     def _draw(self, now: int, item: Open) -> list[Server]:
         """Up to DRAW servers at random without replacement, of those that this request may go to."""
-        pool, picked, aside = self._candidates(item), list[Server](), list[Server]()
-        hung, most = list[Server](), len(pool) if self._tight(now, item) else DRAW
+        pool = self._candidates(item)
+        most = len(pool) if self._tight(now, item) else DRAW
+        picked, suspect, hanging = list[Server](), list[Server](), list[Server]()
         for i in range(len(pool)):
             j = i + int(self.random() * (len(pool) - i))
             pool[i], pool[j] = pool[j], pool[i]
-            pool[i].used += SMOOTH * (pool[i].in_flight - pool[i].used)
-            if self._allowed(now, item, pool[i]):
-                (
-                    hung
-                    if self._hangs(now, item, pool[i])
-                    else aside
-                    if self._suspect(now, item, pool[i])
-                    else picked
-                ).append(pool[i])
+            server = pool[i]
+            server.used += SMOOTH * (server.in_flight - server.used)
+            if not self._allowed(now, item, server):
+                continue
+            if self._hangs(now, item, server):
+                hanging.append(server)
+            elif self._suspect(now, item, server):
+                suspect.append(server)
+            else:
+                picked.append(server)
                 if len(picked) == most:
                     break
         # A trouble of the whole fleet must not shut it out: more than half are never left aside.
-        return picked if picked and len(aside) * 2 <= len(pool) else (picked + aside or hung)[:DRAW]
+        if picked and len(suspect) * 2 <= len(pool):
+            return picked
+        return (picked + suspect or hanging)[:DRAW]
 
     def _candidates(self, item: Open) -> list[Server]:
         """The pool, or for the repeat of a keyed request a sample of all servers that drop it."""
@@ -497,7 +510,7 @@
         self.arrived += not request.retry  # retries would enlarge the pool, and fill every connection table
         growing = self.sweeps < 2 and len(self.pool) < len(self.fleet.ready)
         if growing and 2 * self.arrived >= MET * len(self.pool):
-            self._gather(now)  # many requests: a start with few servers would refuse some of them
+            self._choose_pool(now)  # many requests: a start with few servers would refuse some of them
         self.yielded *= 1 - SMOOTH
         # A jam of the whole pool: rooms of single servers learn too slowly where each is met seldom.
         if not request.retry:
@@ -557,7 +570,7 @@
     def _watch_over(self, now: int, item: Open) -> None:
         if item.klass.idempotency is not Idempotency.UNSAFE and self._may_send(now, item):
             wait = int(max(PATIENCE * self._expected(item), WAIT_SHARE * item.klass.aim))
-            self.acts.append(SetTimer("r:" + item.request.id, now + wait))
+            self.actions.append(SetTimer("r:" + item.request.id, now + wait))
 
     def _expected(self, item: Open) -> float:
         n, hint = item.request.klass, item.request.cost_hint
@@ -589,7 +602,7 @@
         if lane.out == 1:
             lane.quiet_since = now
         # Until the client's own deadline: called off at the aim, it would come back and be begun anew.
-        self.acts.append(Send(item.request.id, server.entry.id, 0, begin_by))
+        self.actions.append(Send(item.request.id, server.entry.id, 0, begin_by))
 
     def _hold(self, now: int, item: Open) -> None:
         """Nowhere to go: look again soon, and answer before an answer stops being worth waiting for."""
@@ -599,7 +612,7 @@
             self._give_up(now, item, "no-room" if self._may_send(now, item) else "too-late")
             return
         again = now + int(item.klass.aim * HOLD_SHARE)
-        self.acts.append(SetTimer("r:" + item.request.id, max(now + 1, min(again, until))))
+        self.actions.append(SetTimer("r:" + item.request.id, max(now + 1, min(again, until))))
 
     # ---- answer, cancel, retry ----
 
@@ -642,7 +655,7 @@
 
     def _cancel_others(self, item: Open, keep: int) -> None:
         out = [n for n, a in enumerate(item.attempts) if a.end is None and n != keep]
-        self.acts += [Cancel(item.request.id, n) for n in out if self.settings.cancel_allowed]
+        self.actions += [Cancel(item.request.id, n) for n in out if self.settings.cancel_allowed]
 
     def _forget(self, item: Open) -> None:
         if item.closed and not item.live:
@@ -655,7 +668,7 @@
         everywhere = kind is Idempotency.KEYED and item.klass.scope is Scope.ALL
         harmless = item.anchor() is None or kind is Idempotency.SAFE or everywhere
         rid = item.request.id
-        self.acts.append(Refuse(rid, self._advice(now, item)) if harmless else Fail(rid))
+        self.actions.append(Refuse(rid, self._advice(now, item)) if harmless else Fail(rid))
         self._close(item)
 
     def _advice(self, now: int, item: Open) -> int:
@@ -741,7 +754,7 @@
             # Less than one at a time: many balancers with one attempt each do not jam a server.
             server.rest_until = max(server.rest_until, now + int(rest))
             if server.refused:
-                self._gather(now)  # another takes its place at once
+                self._choose_pool(now)  # another takes its place at once
 
     # ---- cold budget ----
 
@@ -773,7 +786,7 @@
             return True
         served = max(self.yielded, ROOM / self.settings.balancers)  # at least so much, or none would begin
         bears = SAFETY * self.settings.overload_multiple * self._warmth(now, server) * served
-        bears *= server.entry.weight / self.fleet.mean_weight() / self.whole
+        bears *= server.entry.weight / self.fleet.mean_weight() / self.pool_capacity
         server.credit += bears * (self.arrived - server.credited)
         server.credited = self.arrived
         most = 1 + bears * self.arrivals * LAPSE
@@ -786,9 +799,9 @@
     def on_timer(self, now: int, token: str) -> list[Action]:
         if token == "sweep":
             self._sweep(now)
-            self.acts.append(SetTimer("sweep", now + int(self.settings.overload_window * SWEEP_SHARE)))
+            self.actions.append(SetTimer("sweep", now + int(self.settings.overload_window * SWEEP_SHARE)))
         elif token == "watch":
-            self.acts.append(Watch())
+            self.actions.append(Watch())
         elif token.startswith("r:"):
             item = self.open.get(token[2:])
             if item is not None and not item.closed:
@@ -800,11 +813,11 @@
         fresh = max(SMOOTH, 1 / max(1, self.sweeps - 1))  # before there is a mean to smooth, the plain mean
         self.arrivals += fresh * ((self.arrived - self.swept) / SWEEP_SHARE - self.arrivals)
         self.swept = self.arrived
-        self._gather(now)
+        self._choose_pool(now)
         # Prevents rooms that grow through an overload, and all servers with them, from ending in a jam.
         # While servers warm up help is on its way, and larger rooms bridge the time until then.
         self.easy = EASY * (SOFTER if any(self._cold(now, s) for s in self.pool) else 1 - HARDER * self.crowd)
-        self._appraise()
+        self._weigh_classes()
         if self.sweeps % LOG_SWEEPS == 0:
             self._report(now)
         self._drop_servers(now)
@@ -828,7 +841,7 @@
         resting = now < max(server.rest_until, *(lane.rest_until for lane in server.lanes))
         return spent or resting or self._left_there(now, server) > 0
 
-    def _appraise(self) -> None:
+    def _weigh_classes(self) -> None:
         """Worth of each class per work; where the worst class counts much, none is worth giving up."""
         worths = [max(c.worth, 1e-9) for c in self.settings.classes]
         costs = [1.0 if self.settings.worth_by_work else u for u in self.usual]
@@ -838,11 +851,11 @@
 
     def _report(self, now: int) -> None:
         """The state by which requests are let in, held and placed, for those who run this."""
-        self.acts.append(
+        self.actions.append(
             Log(
                 f"requests {self.arrived} admit {self.admit:.2f} crowd {self.crowd:.2f} "
                 f"open {len(self.open)} failed watches {self.watch_failures} "
-                f"gave up {_told(self.gave_up)}"
+                f"gave up {_counts_text(self.gave_up)}"
             )
         )
         self._report_servers(now)
@@ -861,19 +874,19 @@
         resting = sum(now < s.rest_until for s in known)
         unreachable = sum(self._unreachable(now, n) for n in self.servers)
         slow = sum(s.pace > GOOD_SHARE for s in known)
-        self.acts.append(
+        self.actions.append(
             Log(
                 f"servers {listed} ready {ready} draining {listed - ready} pool {len(self.pool)} "
                 f"known {len(known)} cold {cold} resting {resting} unreachable {unreachable} slow {slow} "
                 f"room {sum(s.room for s in known):.2f} out {sum(s.in_flight for s in known)} "
-                f"failing {sum(s.failures > 0 for s in known)} ends {_told(self.ends)}"
+                f"failing {sum(s.failures > 0 for s in known)} ends {_counts_text(self.ends)}"
             )
         )
         for s in sorted(known, key=lambda s: (-s.failures, -s.pace, s.entry.id))[:REPORTED]:
-            self.acts.append(
+            self.actions.append(
                 Log(
                     f"server {s.entry.id:x} zone {s.entry.zone} room {s.room:.2f} "
-                    f"out {s.in_flight} pace {s.pace:.2f} ends {_told(s.ends)}"
+                    f"out {s.in_flight} pace {s.pace:.2f} ends {_counts_text(s.ends)}"
                 )
             )
         for s in known:
