Decide in fleets of up to 256 servers exactly as before they were cut loose from the size

Cause: the sample for keyed repeats and the credit's own generator changed every later choice. Change: a fleet of up to KEPT servers, now 256, is known whole; its credits come from the one generator in the list's order and its keyed repeats are drawn from all ready servers. The sample of the cell, zone or fleet holds for larger fleets alone. The bar on a small fleet's first list is 300 byte codes a server, as each is also put into the draw's list; the bars at 6,400 are as they were.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -58,7 +58,7 @@
 TRY_SLACK = 0.05  # of the time for a first try: a retry's may differ by this without telling anything
 SHARE_WINDOW = 3.0  # seconds: what a tenant leaves of its share is kept so long for it
 SWEEP_SHARE = 0.25  # of the overload window: how often capacity is measured and forgotten servers are dropped
-KEPT = 200  # servers whose learned state is kept outside the pool; a fleet of so many is known whole
+KEPT = 256  # servers whose learned state is kept outside the pool; a fleet of so many is known whole
 LOG_SWEEPS = 2  # sweeps from one report in the log to the next
 REPORTED = 5  # servers that a report names, the worst ones; the others are counted
 LATE = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # ends that came too late or not at all
@@ -253,11 +253,11 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.seed = seed
         self.random = Random(seed).random
         self.fleet = Fleet(settings)
         self.servers: dict[int, Server] = {}  # those of it that this instance has met
         self.first_room = ROOM  # of the servers not met yet, on average: what each begins with
+        self.reach: list[Server] = []  # the pool, and all other ready ones of a fleet that is known whole
         self.pool: list[Server] = []  # the ready ones that this instance keeps in touch with
         self.arrived = self.swept = self.sweeps = 0  # requests since the start, until the last sweep; sweeps
         self.arrivals = 0.0  # requests in an overload window, running mean
@@ -311,8 +311,9 @@
         for server in list(self.servers.values()):
             self._relist(server, fresh)
         if len(self.fleet.entries) <= KEPT:
-            for number in sorted(fresh):
-                self._meet(number)
+            for entry in update.entries:
+                if entry.id in fresh:
+                    self._meet(entry.id)
         self._choose_pool(now)
         if room is None:
             room = self.first_room = ROOM / self._sharers()
@@ -362,7 +363,7 @@
         if server is None:
             entry = self.fleet.entries[number]
             lanes = [Lane() for _ in self.settings.classes]
-            server = Server(entry, self.first_room, self._first_credit(entry), self.arrived, lanes)
+            server = Server(entry, self.first_room, self.random(), self.arrived, lanes)
             self.servers[number] = server
         return server
 
@@ -381,7 +382,10 @@
         """
         met = max(self.arrivals, 2 * self.arrived if self.sweeps < 2 else 0)
         size = max(POOL_LEAST * DRAW, int(met / MET))
-        self.pool = [self._meet(number) for number in self._reachable_first(now, size)]
+        whole = len(self.fleet.entries) <= KEPT
+        reach = self._reachable_first(now, len(self.fleet.ready) if whole else size)
+        self.reach = [self._meet(number) for number in reach]
+        self.pool = self.reach[:size]
         # Not under SAFETY of them: a fleet that went cold at once did not serve what was measured before.
         self.pool_capacity = max(sum(self._warmth(now, s) for s in self.pool), SAFETY * len(self.pool), 1.0)
 
@@ -429,11 +433,13 @@
         return (picked + suspect or hanging)[:DRAW]
 
     def _candidates(self, item: Open) -> list[Server]:
-        """The pool, or for the repeat of a keyed request a sample of all servers that drop it."""
-        anchor, scope = item.anchor(), item.klass.scope
+        """The pool, or for the repeat of a keyed request more: few servers drop it."""
+        anchor = item.anchor()
         if anchor is None or item.klass.idempotency is not Idempotency.KEYED:
             return self.pool
-        group = self.fleet.scope(scope, anchor.server.entry)
+        if len(self.fleet.entries) <= KEPT:
+            return self.reach
+        group = self.fleet.scope(item.klass.scope, anchor.server.entry)
         if len(group) > REPEAT_SAMPLE:
             group = sorted({group[int(self.random() * len(group))] for _ in range(REPEAT_SAMPLE)})
         return [self._meet(number) for number in group]
@@ -456,6 +462,9 @@
     def _allowed(self, now: int, item: Open, server: Server) -> bool:
         if any(_same_process(attempt.server.entry, server.entry) for attempt in item.attempts):
             return False
+        anchor = item.anchor()
+        if anchor is not None and not self._drops_repeats(item.klass, anchor.server.entry, server.entry):
+            return False
         # Prevents a class that hangs on some servers from feeding them: one trial after each rest.
         if now < server.lanes[item.request.klass].rest_until:
             return False
@@ -463,6 +472,12 @@
         held = server.in_flight + self._left_there(now, server)
         return held < server.room and now >= server.rest_until and self._cold_room(now, server)
 
+    def _drops_repeats(self, klass: RequestClass, first: ServerEntry, other: ServerEntry) -> bool:
+        """Whether a server drops the repeat of a request that another was sent first."""
+        if klass.idempotency is not Idempotency.KEYED or klass.scope is Scope.ALL:
+            return True
+        return first.zone == other.zone if klass.scope is Scope.ZONE else first.cell == other.cell
+
     def _left_there(self, now: int, server: Server) -> int:
         """Attempts that nobody waits for any more and that the server may still work on."""
         server.left = [until for until in server.left if until > now]
@@ -761,12 +776,6 @@
     def _cold(self, now: int, server: Server) -> bool:
         return server.entry.started > 0 and now < server.entry.started + self.settings.cold_time
 
-    def _first_credit(self, entry: ServerEntry) -> float:
-        """At random, so that the instances take turns; the same whenever this instance first meets it."""
-        if entry.started <= 0:
-            return 0.0  # never cold
-        return Random(f"{self.seed}/{entry.id}/{entry.started}").random()
-
     def _warmth(self, now: int, server: Server) -> float:
         """Least share of its capacity that a server has by now."""
         if not self._cold(now, server):
