--- a/emulator/control/command.py
+++ b/emulator/control/command.py
@@ -12,8 +12,10 @@
 from rich.table import Table
 
 from emulator.control import supervisor
+from emulator.control.process import ChildFailedError
 from emulator.control.results import RunResult, StepResult, missed_bars
 from emulator.control.scenario import DEFAULT, QUICK, Scenario, load
+from emulator.control.supervisor import StepFailedError
 from emulator.errors import BarFailedError
 
 INTERRUPTED = 130  # the exit code of a run that SIGINT ended
@@ -66,6 +68,8 @@
         result = asyncio.run(_run(wanted))
     except asyncio.CancelledError:
         raise click.exceptions.Exit(INTERRUPTED) from None
+    except (ChildFailedError, StepFailedError, TimeoutError) as exc:
+        raise BarFailedError(f"the run is not sound: {exc or 'a process did not answer in time'}") from None
     print_line(result)
     print_table(result, wanted.bar_s)
     missed = missed_bars(result, wanted.bar_s)
--- a/tests/emulator/test_control_scenario.py
+++ b/tests/emulator/test_control_scenario.py
@@ -99,10 +99,8 @@
 def test_the_scenarios_that_come_with_it_are_sound_and_of_the_same_story() -> None:
     full, quick = load(DEFAULT), load(QUICK)
     assert [step.do for step in full.steps] == [step.do for step in quick.steps]
-    assert (full.balancers, quick.balancers) == (
-        420,
-        420,
-    ) and full.real_balancers == quick.real_balancers == 8
+    assert full.balancers == quick.balancers == 420
+    assert full.real_balancers == quick.real_balancers == 8
     hollow = [n for process in range(3) for n in full.hollow(process)]
     assert sorted(full.real() + hollow) == sorted(sum(full.regions(), [])) == list(range(420))
 
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -162,7 +162,7 @@
     for n in range(300):
         for world in (plain, changed):
             if n % 7 == 0:
-                change(world) if world is changed else world.balancer._appraise()
+                change(world) if world is changed else world.balancer._weigh_classes()
             rid = world.submit(n % len(CLASSES))
             world.advance(9 * MS)
             world.end_all(rid, Outcome.ERROR if n % 5 == 0 else Outcome.OK)
