--- a/tests/emulator/test_control_plane.py
+++ b/tests/emulator/test_control_plane.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -9,9 +10,14 @@
 
 import pytest
 
+from emulator.control.agents import Agent
+from emulator.control.contract import AddressPlan
 from emulator.control.durable_log import DurableLog, decode, encode
+from emulator.control.history import History
+from emulator.control.http_server import HttpRequest, HttpResponse, HttpServer
 from emulator.control.messages import AcceptRecord, Change, ChosenRecord, Message, PromiseRecord, Record
 from emulator.control.replica import Outcome, Replica, Step, Verdict
+from emulator.control.supervisor import free_port
 
 MACHINES = 3
 TICK = 0.02
@@ -304,3 +310,95 @@
         "sync",
         "after the sync",
     ]
+
+
+# ---- what is handed out ----
+
+
+def asking(**query: str) -> HttpRequest:
+    return HttpRequest("GET", "/v1/settings", query, {}, b"")
+
+
+def test_an_older_version_is_never_handed_out_after_a_newer_one() -> None:
+    async def main() -> None:
+        history = History()
+        assert (await history.answer(asking())).body == b'{"version":0}'
+        for version in (3, 2):
+            history.add(version, f'{{"n":{version}}}')
+        for _ in range(2):
+            assert (await history.answer(asking())).body == b'{"version":3,"settings":{"n":3}}'
+            history.add(3, '{"n":"another"}')
+        assert (await history.answer(asking(before="3"))).body == b'{"version":2,"settings":{"n":2}}'
+        assert (await history.answer(asking(before="2"))).body == b'{"version":0}'
+
+    asyncio.run(main())
+
+
+def test_a_held_call_is_answered_as_soon_as_there_is_a_newer_version() -> None:
+    async def main() -> None:
+        history = History()
+        history.add(1, "{}")
+        held = asyncio.ensure_future(history.answer(asking(**{"from": "1", "hold_ms": "60000"})))
+        await asyncio.sleep(0)
+        assert not held.done()
+        history.add(2, "{}")
+        assert (await held).body == b'{"version":2,"settings":{}}'
+        assert (await history.answer(asking(**{"from": "2", "hold_ms": "1"}))).body == b'{"version":2}'
+
+    asyncio.run(main())
+
+
+class StubMachines:
+    """Three addresses of control machines: one answers as its history says, two refuse connections."""
+
+    def __init__(self) -> None:
+        self.history = History()
+        self.queries: list[dict[str, str]] = []
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        self.queries.append(request.query)
+        return await self.history.answer(request)
+
+    async def start(self) -> AddressPlan:
+        port = free_port()
+        await HttpServer(self.handle).listen(AddressPlan(port, 0, 0).machine(1).host, port)
+        return AddressPlan(port, 0, 0)
+
+
+def test_an_agent_finds_the_one_machine_left_and_searches_it_for_a_version_that_it_never_had() -> None:
+    async def main() -> None:
+        machines = StubMachines()
+        for version in (4, 5):
+            machines.history.add(version, f'{{"n":{version}}}')
+        agent = Agent(3, await machines.start(), [0, 1, 2], seed=1)
+        while agent.history.newest < 5:
+            await asyncio.sleep(0.01)
+        assert list(agent.history.settings) == [5]
+        assert (await agent.handle(asking(before="5"))).body == b'{"version":4,"settings":{"n":4}}'
+        machines.queries.clear()
+        assert (await agent.handle(asking(before="5"))).body == b'{"version":4,"settings":{"n":4}}'
+        assert not any("before" in query for query in machines.queries)
+        agent.task.cancel()
+
+    asyncio.run(asyncio.wait_for(main(), 30))
+
+
+def test_an_agent_beyond_a_split_hears_nothing_and_keeps_what_it_has() -> None:
+    async def main() -> None:
+        machines = StubMachines()
+        machines.history.add(1, "{}")
+        agent = Agent(3, await machines.start(), [1], seed=1)
+        while agent.history.newest < 1:
+            await asyncio.sleep(0.01)
+        agent.reach = [0]
+        machines.history.add(2, "{}")  # answers the call that is held there: it is lost on the way
+        machines.queries.clear()
+        assert (await agent.handle(asking(**{"from": "0"}))).body == b'{"version":1,"settings":{}}'
+        await asyncio.sleep(0.1)
+        assert agent.history.newest == 1 and not machines.queries
+        agent.reach = [1]
+        while agent.history.newest < 2:
+            await asyncio.sleep(0.01)
+        agent.task.cancel()
+
+    asyncio.run(asyncio.wait_for(main(), 30))
