Read a process's processor time in nanoseconds, and move it out of the rig's measures

Shares of a core over 3 s came in steps of a third of a point; the scheduler's own count has none, so idle and load can be shorter in a full run.

--- /dev/null
+++ b/emulator/slopes/balancer_process.py
@@ -0,0 +1,143 @@
+"""The real program as a process of the rig: started as the deployment does, measured, stopped by its id."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import psutil
+
+from emulator.slopes.client import Address, Pinger
+from emulator.slopes.standins import LOCALHOST
+
+PROJECT = Path(__file__).resolve().parents[2]
+READY_SECONDS = 40.0  # until a balancer has to be ready
+STOP_SECONDS = 5.0  # from SIGTERM to SIGKILL
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+
+
+class RigError(Exception):
+    """The balancer cannot be measured; its text is one line for people."""
+
+
+def processor_seconds(process: psutil.Process) -> float:
+    """Processor time of all threads: from the scheduler in nanoseconds, else in steps of 10 ms."""
+    try:
+        threads = Path(f"/proc/{process.pid}/task").glob("*/schedstat")
+        nanoseconds = [int(thread.read_text().split()[0]) for thread in threads]
+    except (OSError, ValueError):
+        nanoseconds = []
+    if sum(nanoseconds):
+        return sum(nanoseconds) / 1e9
+    times = process.cpu_times()
+    return float(times.user + times.system)
+
+
+class BalancerProcess:
+    """The real program, as the deployment runs it."""
+
+    def __init__(self, process: asyncio.subprocess.Process, address: Address, log: Path) -> None:
+        self.process = process
+        self.address = address
+        self.log = log
+        self.handle = psutil.Process(process.pid)
+
+    def _tree(self) -> list[psutil.Process]:
+        return [self.handle, *self.handle.children(recursive=True)]
+
+    def cpu_seconds(self) -> float:
+        """Processor time of the program since its start, with all processes that it started."""
+        return sum(processor_seconds(one) for one in self._tree())
+
+    def resident(self) -> int:
+        """Bytes resident, of all its processes."""
+        return sum(int(one.memory_info().rss) for one in self._tree())
+
+    def log_size(self) -> int:
+        """Bytes that it has written to standard output and error."""
+        return self.log.stat().st_size
+
+    def _last_line(self) -> str:
+        lines = self.log.read_text(errors="replace").splitlines()
+        return lines[-1] if lines else "nothing in its log"
+
+    async def wait_ready(self) -> None:
+        """Until `/ready` answers 200."""
+        pinger = Pinger(self.address)
+        async with asyncio.timeout(READY_SECONDS):
+            while await pinger.ping() != 200:
+                if self.process.returncode is not None:
+                    raise RigError(
+                        f"the balancer ended with code {self.process.returncode}: {self._last_line()}"
+                    )
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """SIGTERM, and SIGKILL if it does not end."""
+        if self.process.returncode is not None:
+            return
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), STOP_SECONDS)
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+
+def free_port() -> int:
+    """A port that was free on loopback a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((LOCALHOST, 0))
+        return int(probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def running_balancer(
+    settings: dict[str, Any], seed: int, agent_port: int
+) -> AsyncIterator[BalancerProcess]:
+    """Start the program with these settings, and stop it in the end."""
+    with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
+        address = (LOCALHOST, free_port())
+        config, log = Path(folder, "config.json"), Path(folder, "log")
+        listen, discovery = f"{LOCALHOST}:{address[1]}", f"{LOCALHOST}:{agent_port}"
+        configuration = {
+            "name": "n0",
+            "listen": listen,
+            "discovery": discovery,
+            "seed": f"{seed:016x}",
+            "limits": LIMITS,
+            "settings": settings,
+        }
+        config.write_bytes(msgspec.json.encode(configuration))
+        environment = {
+            **os.environ,
+            "NODE_NAME": "n0",
+            "NODE_LISTEN": listen,
+            "NODE_DISCOVERY": discovery,
+            "NODE_CONFIG": str(config),
+        }
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "dykeshift.node",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=environment,
+                cwd=PROJECT,
+            )
+        balancer = BalancerProcess(process, address, log)
+        try:
+            yield balancer
+        finally:
+            await balancer.stop()
--- a/emulator/slopes/roles.py
+++ b/emulator/slopes/roles.py
@@ -34,9 +34,9 @@
 
 FULL = Effort(
     block_seconds=0.5,
-    idle_seconds=3.0,
-    load_seconds=4.0,
-    bar_idle_seconds=10.0,
+    idle_seconds=2.5,
+    load_seconds=3.0,
+    bar_idle_seconds=8.0,
     bar_load_seconds=16.0,
     starts=3,
 )
--- a/tests/emulator/test_slopes_standins.py
+++ b/tests/emulator/test_slopes_standins.py
@@ -13,10 +13,11 @@
 import uvloop
 
 from emulator.slopes import rig
+from emulator.slopes.balancer_process import RigError
 from emulator.slopes.client import NO_ANSWER, ClientConnection, OpenLoopClient, connect
 from emulator.slopes.deployment import CLIENT_PATIENCE_MS, server_host
 from emulator.slopes.process_role import run_rig
-from emulator.slopes.rig import Job, Result, RigError, result_of
+from emulator.slopes.rig import Job, Result, result_of
 from emulator.slopes.sizes import BASE
 from emulator.slopes.standins import LOCALHOST, Agent, start_agent, start_photo_servers
 
