--- a/emulator/slopes/discovery_role.py
+++ b/emulator/slopes/discovery_role.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import json
-
-from dykeshift.node.discovery import Reader
+from dykeshift.node.listing import Listed, Listing, ListReader, decode
 from emulator.slopes.counting import count_lines
 from emulator.slopes.deployment import MACHINE_TYPES, ZONES, one_change, whole_list
 from emulator.slopes.roles import Effort, Figure, Role
@@ -15,13 +13,24 @@
 PORT = 8081  # of the servers in the messages; nothing listens
 
 
+def read(reader: ListReader, body: bytes) -> Listing[Listed]:
+    """Read a list as the real client does, its turns of the event loop following at once."""
+    steps = reader.read(decode(body))
+    while True:
+        try:
+            steps.send(None)
+        except StopIteration as stop:
+            listing: Listing[Listed] = stop.value
+            return listing
+
+
 def measure(scale: Scale, effort: Effort, seed: int) -> list[Figure]:
     """All measures of discovery's messages at one scale; the bytes are those of whole HTTP answers."""
     del seed  # nothing is drawn
-    reader = Reader(ZONES, MACHINE_TYPES)
+    reader = ListReader(ZONES, MACHINE_TYPES)
     listed = whole_list(scale.servers, PORT)
     change = one_change(scale.servers // 2, PORT, "leaving")
-    read_time = best_time(lambda body: reader.read(json.loads(body)), lambda: listed, effort.block_seconds)
+    read_time = best_time(lambda body: read(reader, body), lambda: listed, effort.block_seconds)
     list_bytes, change_bytes = len(answer(listed)), len(answer(change))
     return [
         Figure("whole list, bytes to one balancer", "B", list_bytes),
@@ -30,8 +39,8 @@
         Figure("one change, bytes to all balancers", "B", change_bytes * scale.balancers),
         Figure("a day of changes, bytes to one balancer", "B", change_bytes * scale.changes),
         Figure("whole list, reading, processor time", "ms", read_time / 1e6),
-        Figure("whole list, reading, lines", "lines", count_lines(lambda: reader.read(json.loads(listed)))),
-        Figure("one change, reading, lines", "lines", count_lines(lambda: reader.read(json.loads(change)))),
+        Figure("whole list, reading, lines", "lines", count_lines(lambda: read(reader, listed))),
+        Figure("one change, reading, lines", "lines", count_lines(lambda: read(reader, change))),
     ]
 
 
