--- a/emulator/slopes/rig.py
+++ b/emulator/slopes/rig.py
@@ -101,13 +101,15 @@
     before = agent.bytes_in + agent.bytes_out
     agent.publish(job.scale.servers // 2, "leaving")
     await asyncio.sleep(CHANGE_SECONDS)
+    change_bytes = agent.bytes_in + agent.bytes_out - before
+    agent.publish(job.scale.servers // 2, "active")  # the load that may follow has all servers
     return Idle(
         cpu_share=cpu / job.idle_seconds,
         resident=resident,
         log_per_s=log / job.idle_seconds,
         control_in_per_s=control_in / job.idle_seconds,
         control_out_per_s=control_out / job.idle_seconds,
-        change_bytes=agent.bytes_in + agent.bytes_out - before,
+        change_bytes=change_bytes,
     )
 
 
