Begin no attempt for a client whose close the event loop has not told yet

Cause: the loop runs due timers before it reads its sockets, and a close is told one turn after it is read: after a time without a core, a held request's next look, a rested connection, a delayed copy or a further attempt was written for a client gone for over 0.1 s. Only a request just read asked the socket itself. Change: Attempt.write asks whether the client still waits (one poll an attempt), and the module is told of the leaving before it hears of the attempt's end. The standing terms' count of rows read at a start goes by the reader that works in steps.

--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -58,6 +58,7 @@
     incoming: Incoming
     deadline: int
     reply: Callable[[Reply], None]
+    wanted: Callable[[], bool]  # whether the client still waits
     attempts: list[Attempt | None] = field(default_factory=list)  # None: has come back
     sent: list[int] = field(default_factory=list)
     out: int = 0
@@ -98,12 +99,19 @@
         self.named += 1
         return f"{incoming.id}/{self.named}"
 
-    def submit(self, name: str, incoming: Incoming, arrived: int, reply: Callable[[Reply], None]) -> None:
+    def submit(
+        self,
+        name: str,
+        incoming: Incoming,
+        arrived: int,
+        reply: Callable[[Reply], None],
+        wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Take a request; `reply` is called exactly once, unless the client goes first."""
         deadline = arrived + max(0, incoming.patience - RETURN)
         if self.until is not None:
             deadline = min(deadline, self.until)
-        job = self.jobs[name] = Job(name, incoming, deadline, reply)
+        job = self.jobs[name] = Job(name, incoming, deadline, reply, wanted)
         self._set_guard(job)
         request = Request(
             id=name,
@@ -178,6 +186,8 @@
         if end.outcome is Outcome.OK and end.answer is not None and not job.closed:
             kind = end.answer.headers.get(b"content-type", b"application/octet-stream")
             self._finish(job, Reply(200, end.answer.body, kind))
+        elif not job.closed and not job.wanted():
+            self.client_gone(job.name)  # else the module would look for another upstream
         told = AttemptEnd(
             job.name,
             number,
@@ -244,7 +254,9 @@
         if job.closed:
             until = 0  # nothing more goes out for it, yet the module gets its outcome
         ended = partial(self._ended, job, number, action.server)
-        attempt = self.pool.start(action.server, job.incoming.message, until, ended, action.begin_by)
+        attempt = self.pool.start(
+            action.server, job.incoming.message, until, ended, action.begin_by, job.wanted
+        )
         job.attempts.append(attempt)
         job.sent.append(now)
         job.out += 1
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -142,6 +142,10 @@
     def unread_answer(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def waits(self) -> bool:
+        """Whether its close has not come, be it one that the event loop has not told yet."""
+        return self.transport is not None and not has_ended(self.transport.get_extra_info("socket"))
+
     def has_input(self) -> bool:
         return self.transport is not None and has_input(self.transport.get_extra_info("socket"))
 
@@ -270,7 +274,7 @@
             return
         self.request_id = self.front.driver.name(incoming)
         try:
-            self.front.driver.submit(self.request_id, incoming, self.began, self.answer)
+            self.front.driver.submit(self.request_id, incoming, self.began, self.answer, self.waits)
         except Exception:  # the program's own fault: an attempt may be out, so this is no refusal
             log.exception("request %s", incoming.id)
             self.front.driver.client_gone(self.request_id)  # else it would answer the next request
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -73,6 +73,7 @@
         "until",
         "ended",
         "begin_by",
+        "wanted",
         "connection",
         "idle",
         "written",
@@ -87,6 +88,7 @@
         until: int,
         ended: Callable[[End], None],
         begin_by: int,
+        wanted: Callable[[], bool],
     ) -> None:
         self.pool = pool
         self.upstream = upstream
@@ -94,6 +96,7 @@
         self.until = until
         self.ended = ended
         self.begin_by = begin_by  # not to be written from then on; 0: until its end
+        self.wanted = wanted  # whether its client still waits
         self.connection: Connection | None = None
         self.idle: float | None = None  # seconds that its connection had not been used; None: a new one
         self.written = 0.0
@@ -104,12 +107,15 @@
 
         Protects the drain rule, cancels and deadlines: while a connect was waited for, the request
         may have been answered elsewhere or run out of time, and the upstream may have begun to drain.
+        Its client is asked for as well: timers come before what the sockets tell, so that after a time
+        without a core an attempt would begin for a client that left long before.
         """
         if self.over:
             return False
         now = time.monotonic_ns()
         left = self.until - now
-        if left <= 0 or now >= (self.begin_by or self.until) or not self.upstream.open_to_new:
+        late = left <= 0 or now >= (self.begin_by or self.until)
+        if late or not self.upstream.open_to_new or not self.wanted():
             # Later, not now: whoever starts the attempt does not have it yet and could not place its end.
             self.pool.loop.call_soon(self.finish, End(Outcome.NOT_SENT))
             return False
@@ -255,9 +261,10 @@
         until: int,
         ended: Callable[[End], None],
         begin_by: int = 0,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Attempt:
         upstream = self._upstream(number)
-        attempt = Attempt(self, upstream, message, until, ended, begin_by)
+        attempt = Attempt(self, upstream, message, until, ended, begin_by, wanted)
         if not upstream.open_to_new:
             self.loop.call_soon(attempt.finish, End(Outcome.NOT_SENT))
             return attempt
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -331,7 +331,7 @@
         """
         if not self.settings.ask_discovery:
             return
-        # All may have failed together, as one queue serves them all: in step their repeats would keep it full.
+        # All may have failed together, as one queue serves them all: repeats in step would keep it full.
         share = WATCH_SHARE * self.settings.balancers * 2**self.watch_failures
         pause = min(self.settings.ask_every * min(share, 1.0), RENEW * 1e9)
         self.watch_failures = min(self.watch_failures + 1, 4)
--- a/tests/node/test_standing_terms.py
+++ b/tests/node/test_standing_terms.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,8 +18,8 @@
 import pytest
 
 from dykeshift.interface import Action, SetTimer
-from dykeshift.node.discovery import MAX_LIST, Reader
-from dykeshift.node.driver import Listed
+from dykeshift.node import listing as list_reading
+from dykeshift.node.discovery import MAX_LIST
 from tests.node.stubs import (
     Gate,
     Message,
@@ -241,6 +241,132 @@
     run(main())
 
 
+# ---- nor where the process has no core as the client leaves: timers go before what the sockets tell ----
+
+LATEST = 100_000_000  # nanoseconds after the close in which an attempt may still begin
+
+
+async def leave_unheard(
+    visitor: Visitor, reset: bool, due: Callable[[], int], then: Callable[[], None] = lambda: None
+) -> None:
+    """The client leaves while the loop reads from its sockets, and stays there until a timer is overdue.
+
+    `due`: the clock time of that timer. It is told before the close, though that came LATEST earlier.
+    `then` is called at the end of it.
+    """
+    loop, left = asyncio.get_running_loop(), asyncio.Event()
+    inner, outer = socket.socketpair()
+
+    def leave() -> None:
+        loop.remove_reader(inner)
+        visitor.leave(reset)
+        closed = time.monotonic_ns()
+        while time.monotonic_ns() <= max(due(), closed) + LATEST:
+            pass
+        then()
+        left.set()
+
+    with inner, outer:
+        loop.add_reader(inner, leave)
+        outer.send(b"now")
+        await left.wait()
+
+
+@CLOSES
+@CLASSES
+def test_a_held_request_whose_client_left_unheard_is_not_sent_on(klass: str, reset: bool) -> None:
+    """Its next look would find a server with room and a connection that is up."""
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            seen, driver = Departures.of(balancer), balancer.front.driver
+            driver.pool.rest = 0.0
+            assert "200" in (await balancer.ask(request("send", rid="warm"))).start
+            (server,) = driver.balancer.servers.values()
+            server.rest_until = time.monotonic_ns() + 100_000_000  # it looks at least once in vain
+            visitor = Visitor(balancer, request(klass, rid="left"))
+            await until(lambda: seen.waits("left") > 0)
+            server.rest_until = 0
+            await leave_unheard(visitor, reset, lambda: seen.waits("left"))
+            await until(lambda: "left" in seen.gone)
+            await all_quiet(balancer)
+            assert "left" not in received(stub)
+
+    run(main())
+
+
+@CLOSES
+@CLASSES
+def test_an_attempt_whose_client_left_unheard_does_not_use_the_connection_that_rested(
+    klass: str, reset: bool
+) -> None:
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        async with node(stub) as balancer:
+            seen, driver = Departures.of(balancer), balancer.front.driver
+            driver.pool.rest = 0.2
+            assert "200" in (await balancer.ask(request(klass, rid="first"))).start
+            await until(lambda: not balancer.front.clients)
+            visitor = Visitor(balancer, request(klass, rid="left"))
+            await until(lambda: bool(driver.jobs))
+            rested = time.monotonic_ns() + int(driver.pool.rest * 1e9)
+            await leave_unheard(visitor, reset, lambda: rested)
+            await until(lambda: seen.gone == ["left"])
+            await all_quiet(balancer)
+            assert received(stub) == ["first"]
+
+    run(main())
+
+
+@CLOSES
+@pytest.mark.parametrize("klass", ["check", "set"])
+def test_no_delayed_copy_is_sent_for_a_client_that_left_unheard(klass: str, reset: bool) -> None:
+    async def main() -> None:
+        stubs = [await Stub(says(answer())).start() for _ in range(2)]
+        async with node(*stubs) as balancer:
+            await warm(balancer, *stubs)
+            for stub in stubs:
+                stub.handler = silent
+            seen = Departures.of(balancer)
+            visitor = Visitor(balancer, request(klass, rid="left"))
+            await until(lambda: bool(received(*stubs)))
+            await leave_unheard(visitor, reset, lambda: seen.waits("left"))
+            await until(lambda: seen.gone == ["left"])
+            await all_quiet(balancer)
+            assert received(*stubs) == ["left"]
+
+    run(main())
+
+
+@CLOSES
+@CLASSES
+def test_for_a_client_that_left_unheard_no_attempt_follows_one_that_failed(klass: str, reset: bool) -> None:
+    """Turned away unseen, any class may go on to the other server, whose connection is up."""
+
+    async def main() -> None:
+        stubs = [await Stub(says(answer())).start() for _ in range(2)]
+        async with node(*stubs) as balancer:
+            await warm(balancer, *stubs)
+            seen = Departures.of(balancer)
+            for stub in stubs:
+                stub.handler = silent
+            visitor = Visitor(balancer, request(klass, rid="left"))
+            await until(lambda: bool(received(*stubs)))
+
+            def turn_away() -> None:
+                for stub in stubs:
+                    if stub.seen:
+                        stub.writers[-1].write(answer(b"", "503 Service Unavailable", X_Not_Run="1"))
+
+            await leave_unheard(visitor, reset, lambda: 0, turn_away)
+            await until(lambda: seen.gone == ["left"])
+            await all_quiet(balancer)
+            assert received(*stubs) == ["left"]
+
+    run(main())
+
+
 # ---- the program as a process: discovery behind idle clients, and many starts at once ----
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -479,13 +605,13 @@
 def test_a_start_reads_each_entry_of_its_lists_once(way: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         rows: list[str] = []
-        read = Reader._row
+        read = list_reading.read_row
 
-        def count(reader: Reader, row: Any) -> Listed:
+        def count(row: Any) -> list_reading.Row:
             rows.append(row["instanceId"])
-            return read(reader, row)
+            return read(row)
 
-        monkeypatch.setattr(Reader, "_row", count)
+        monkeypatch.setattr(list_reading, "read_row", count)
         upstream = await Stub(says(answer())).start()
         long, discovery = long_list(ENTRIES, upstream.address), ListServer(0)
         discovery.publish(long)
@@ -498,7 +624,7 @@
         ) as balancer:
             await until(lambda: discovery.applied(7))
             assert len(rows) == ENTRIES * (2 if way == "push" else 1)
-            assert len(balancer.front.driver.ready) == ENTRIES
+            assert len(balancer.front.driver.pool.ready()) == ENTRIES
             assert "200" in (await balancer.ask(request())).start
         discovery.down()
 
