Test a removed class at a server listed no more, and cells in a fleet that is not known whole

Both rules could be taken away with the tests green: the class's new number was one that the old process's lanes had, and a fleet of nine servers is searched without groups.

--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -9,9 +9,11 @@
 from hypothesis.stateful import rule
 
 from dykeshift.interface import Idempotency, ListKind, Outcome, Request, RequestClass, Scope, ServerState
+from dykeshift.rules import KEPT
 from tests.harness import CLASSES, KEYED_CELL, MS, SAFE, UNSAFE, S, World, entry, make_settings
 from tests.test_properties import Rules
 
+SEARCHED = 3 * KEPT  # servers: in a fleet of so many, the repeats of keyed requests are sought in groups
 STREAM = replace(SAFE, name="stream", worth=9.0)
 
 
@@ -75,7 +77,7 @@
     world = make_world((SAFE, UNSAFE), servers=1)
     rid = world.submit(1)
     world.announce(ListKind.DELTA, entry(0, started=world.now))  # a new process has taken its place
-    change(world, classes=(STREAM,))
+    change(world, classes=(STREAM, KEYED_CELL, SAFE))  # its class has a higher number than any before
     world.end(rid, 0, Outcome.OK)
     assert world.requests[rid].final == "OK"
     world.settle()
@@ -126,14 +128,14 @@
 
 
 def test_a_class_whose_repeats_go_to_a_cell_finds_it_though_no_class_needed_cells_before() -> None:
-    world = make_world((SAFE,), servers=9)
+    world = make_world((SAFE,), servers=SEARCHED)
     change(world, classes=(SAFE, KEYED_CELL))
     rid = world.submit(1)
     world.end(rid, 0, Outcome.ERROR)
     assert len(world.requests[rid].servers) == 2  # in the cell of the first, as the harness checks
     change(world, classes=(SAFE,))
     cell = world.list[world.requests[rid].servers[0]].cell
-    others = [n for n in range(9) if world.list[n].cell != cell]
+    others = [n for n in range(SEARCHED) if world.list[n].cell != cell]
     world.announce(ListKind.DELTA, *(entry(n, ServerState.DRAINING) for n in others))
     world.end(rid, 1, Outcome.ERROR)
     assert len(world.requests[rid].servers) == 3  # the cell is still known for the sake of this one
