--- a/emulator/control/replica.py
+++ b/emulator/control/replica.py
@@ -30,7 +30,7 @@
 )
 
 ROUND_TIMEOUT = 0.4  # seconds until a ballot that found no majority is given up
-CHANGE_TIMEOUT = 1.0  # seconds until a change that found none is turned down
+CHANGE_TIMEOUT = 1.5  # seconds until a change that found none is turned down
 LEAST_BACKOFF, MOST_BACKOFF = 0.01, 0.1  # seconds before the next ballot, so that two proposers part
 HEARTBEAT = 0.25  # seconds from one Fetch to the next
 FETCH_MOST = 64  # versions in one answer to it
