--- a/tests/emulator/test_control_plane.py
+++ b/tests/emulator/test_control_plane.py
@@ -388,7 +388,7 @@
         machines = StubMachines()
         machines.history.add(1, "{}")
         agent = Agent(3, await machines.start(), [1], seed=1)
-        while agent.history.newest < 1:
+        while len(machines.queries) < 2:  # the second call is held: there is nothing newer
             await asyncio.sleep(0.01)
         agent.reach = [0]
         machines.history.add(2, "{}")  # answers the call that is held there: it is lost on the way
