--- a/emulator/fleet/contract.py
+++ b/emulator/fleet/contract.py
@@ -80,6 +80,7 @@
     server: int
     work_us: int  # processor time that it takes on a core of speed 1
     wait_us: int  # how long the balancer waits for the answer
+    balancer: int = 0  # who sends it: gives the network delay and the connection
 
 
 class AttemptBatch(msgspec.Struct, frozen=True, array_like=True):
@@ -104,6 +105,11 @@
     results: list[Result]
 
 
+def request_target(work_us: int, balancer: int) -> str:
+    """Target of a client's request; a balancer passes it on unchanged, but not headers of ours."""
+    return f"/api?work_us={work_us}&balancer={balancer}"
+
+
 def frame(message: AttemptBatch | ResultBatch) -> bytes:
     """The message as it is written to a connection."""
     body = msgspec.msgpack.encode(message)
