--- /dev/null
+++ b/emulator/fleet/discovery.py
@@ -0,0 +1,168 @@
+"""Stand-in discovery as a process: `python -m emulator.fleet.discovery`, with an agent for each balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Callable
+from functools import partial
+
+from emulator.fleet import timeline as events
+from emulator.fleet.deadlines import DeadlineHeap, Pacemaker
+from emulator.fleet.discovery_agent import Agent, AgentConnection, Traffic
+from emulator.fleet.discovery_encoding import InstanceWriter, RegionEncoder
+from emulator.fleet.discovery_list import Schedule
+from emulator.fleet.discovery_measures import Acknowledgements, DiscoverySecond, DiscoveryTotal, Series
+from emulator.fleet.process import Clock, Fleet, run_child, say
+
+ROLE = "discovery"
+BACKLOG = 64
+
+
+class DiscoveryPart:
+    """All agents together: their sockets, their releases and their measures."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.clock = Clock(0)
+        self.releases = DeadlineHeap()
+        self.hollow, self.real = Series(), Series()
+        self.traffic, self.reported = Traffic(), Traffic()
+        self.agents = self._make_agents()
+        self.pacemaker: Pacemaker | None = None
+        self.servers: list[asyncio.Server] = []
+
+    def _make_agents(self) -> list[Agent]:
+        fleet = self.fleet
+        layout, scenario = fleet.layout, fleet.scenario
+        schedule = Schedule(scenario, layout, fleet.timeline, fleet.config.seed)
+        kinds = [kind.name for kind in scenario.servers.kinds]
+        writer = InstanceWriter(layout, fleet.config.addresses, kinds, lambda at_s: self.clock.unix_ms(at_s))
+        encoders = [RegionEncoder(versions, len(layout.servers), writer) for versions in schedule.versions]
+        agents = []
+        for number in range(scenario.balancers.total):
+            region = layout.balancer_region(number)
+            series = self.real if number < scenario.balancers.real else self.hollow
+            agents.append(
+                Agent(
+                    encoder=encoders[region],
+                    acknowledgements=Acknowledgements(series),
+                    traffic=self.traffic,
+                    releases=self.releases,
+                    versions=schedule.versions[region],
+                    visible_s=partial(schedule.visible_s, number),
+                    call_later=self._call_later,
+                )
+            )
+        return agents
+
+    async def listen(self) -> None:
+        """Listen at the address of each agent; calls before the start are answered too."""
+        loop = asyncio.get_running_loop()
+        for number, agent in enumerate(self.agents):
+            address = self.fleet.config.addresses.agent(number)
+            self.servers.append(
+                await loop.create_server(
+                    partial(AgentConnection, agent, self._now_s, self._rearm),
+                    address.host,
+                    address.port,
+                    backlog=BACKLOG,
+                )
+            )
+
+    def start(self, clock: Clock) -> None:
+        """Release the versions at their times from here on."""
+        self.clock = clock
+        self.pacemaker = Pacemaker(asyncio.get_running_loop(), clock.now_s, self.releases)
+        for agent in self.agents:
+            agent.schedule_release()
+        self.pacemaker.rearm()
+
+    def apply(self, event: events.Event) -> None:
+        """Outages, silent watches and restarts of balancers; changes of the list are scheduled already."""
+        match event:
+            case events.DiscoverySilenced():
+                for agent in self._agents_in(event.regions):
+                    agent.silence(watches_alone=False)
+            case events.DiscoveryReturned():
+                for agent in self._agents_in(event.regions):
+                    agent.silent = False
+            case events.WatchesSilenced():
+                for number in event.balancers:
+                    self.agents[number].silence(watches_alone=True)
+            case events.WatchesReturned():
+                for number in event.balancers:
+                    self.agents[number].watches_silent = False
+            case events.BalancersStopped() | events.BalancersStarted():
+                for number in event.balancers:
+                    self.agents[number].restarted()
+
+    def measure(self, at_s: float) -> None:
+        """Report one second."""
+        now, before = self.traffic, self.reported
+        say(
+            DiscoverySecond(
+                at_s=at_s,
+                calls=now.calls - before.calls,
+                whole_lists=now.whole_lists - before.whole_lists,
+                silent_calls=now.silent_calls - before.silent_calls,
+                sent_bytes=now.sent_bytes - before.sent_bytes,
+                received_bytes=now.received_bytes - before.received_bytes,
+                hollow=self.hollow.take_second(),
+                real=self.real.take_second(),
+            )
+        )
+        self.reported = Traffic(
+            now.calls, now.whole_lists, now.silent_calls, now.sent_bytes, now.received_bytes
+        )
+
+    def finish(self) -> None:
+        """Report the whole run and close the sockets."""
+        traffic = self.traffic
+        say(
+            DiscoveryTotal(
+                at_s=self.clock.now_s(),
+                calls=traffic.calls,
+                whole_lists=traffic.whole_lists,
+                silent_calls=traffic.silent_calls,
+                sent_bytes=traffic.sent_bytes,
+                received_bytes=traffic.received_bytes,
+                hollow=self.hollow.total.summary(self.hollow.pending),
+                real=self.real.total.summary(self.real.pending),
+                hollow_histogram=self.hollow.total.histogram.encode().decode(),
+                real_histogram=self.real.total.histogram.encode().decode(),
+            )
+        )
+        self.close()
+
+    def close(self) -> None:
+        """Listen no more and call nothing any more."""
+        if self.pacemaker is not None:
+            self.pacemaker.stop()
+        for server in self.servers:
+            server.close()
+
+    def _agents_in(self, regions: tuple[int, ...]) -> list[Agent]:
+        layout = self.fleet.layout
+        return [
+            agent for number, agent in enumerate(self.agents) if layout.balancer_region(number) in regions
+        ]
+
+    def _call_later(self, delay_s: float, callback: Callable[[], None]) -> object:
+        return asyncio.get_running_loop().call_later(delay_s, callback)
+
+    def _now_s(self) -> float:
+        return self.clock.now_s()
+
+    def _rearm(self) -> None:
+        if self.pacemaker is not None:
+            self.pacemaker.rearm()
+
+
+def main() -> int:
+    """Run stand-in discovery until standard input ends."""
+    return run_child(ROLE, DiscoveryPart)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/emulator/fleet/discovery_agent.py
@@ -0,0 +1,195 @@
+"""One agent of stand-in discovery: answers the calls of one balancer, over HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol, cast
+from urllib.parse import parse_qs
+
+import httptools
+
+from emulator.fleet.deadlines import DeadlineHeap
+from emulator.fleet.discovery_encoding import RegionEncoder
+from emulator.fleet.discovery_list import FIRST_GENERATION, ListVersion
+from emulator.fleet.discovery_measures import Acknowledgements
+
+PATH = b"/v1/endpoints"
+LONGEST_HOLD_MS = 60_000
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What all agents together have been asked and have answered."""
+
+    calls: int = 0
+    whole_lists: int = 0
+    silent_calls: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call of a balancer."""
+
+    generation: int | None  # that the balancer has; None: it asks for the whole list
+    hold_ms: int
+
+
+class Reply(Protocol):
+    """Where the answer to a call goes."""
+
+    def answer(self, body: bytes) -> None:
+        """Send the answer; does nothing if the balancer is gone."""
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A call that waits for news."""
+
+    generation: int
+    reply: Reply
+
+
+@dataclass(slots=True, eq=False)
+class Agent:
+    """Tells one balancer what the replica of its region has released to it."""
+
+    encoder: RegionEncoder
+    acknowledgements: Acknowledgements
+    traffic: Traffic
+    releases: DeadlineHeap
+    versions: Sequence[ListVersion]
+    visible_s: Callable[[float], float]  # when this agent can tell what was released at a time
+    call_later: Callable[[float, Callable[[], None]], object]
+    generation: int = FIRST_GENERATION
+    silent: bool = False  # answers nothing
+    watches_silent: bool = False  # answers no held call
+    held: list[Held] = field(default_factory=list)
+
+    def schedule_release(self) -> None:
+        """Add the time at which the next version becomes visible here."""
+        upcoming = self.generation - FIRST_GENERATION
+        if upcoming < len(self.versions):
+            self.releases.add(self.visible_s(self.versions[upcoming].release_s), self._release)
+
+    def called(self, call: Call, reply: Reply, now_s: float) -> None:
+        """Answer a call, at once or later, or stay silent."""
+        self.traffic.calls += 1
+        if self.silent or (self.watches_silent and call.hold_ms):
+            self.traffic.silent_calls += 1
+            return
+        self.acknowledgements.called(call.generation, now_s)
+        if call.generation is None or not FIRST_GENERATION <= call.generation <= self.generation:
+            self.traffic.whole_lists += 1
+            reply.answer(self.encoder.whole_list(self.generation))
+        elif call.generation < self.generation or not call.hold_ms:
+            reply.answer(self.encoder.changes(call.generation, self.generation))
+        else:
+            held = Held(call.generation, reply)
+            self.held.append(held)
+            self.call_later(call.hold_ms / 1e3, lambda: self._expire(held))
+
+    def silence(self, *, watches_alone: bool) -> None:
+        """Answer no call any more, or only those that are not held; calls that wait are never answered."""
+        if watches_alone:
+            self.watches_silent = True
+        else:
+            self.silent = True
+        self.traffic.silent_calls += len(self.held)
+        self.held.clear()
+
+    def restarted(self) -> None:
+        """The balancer has ended."""
+        self.acknowledgements.restarted()
+        self.held.clear()
+
+    def _release(self, at_s: float) -> None:
+        first = self.generation - FIRST_GENERATION
+        for version in self.versions[first:]:
+            if self.visible_s(version.release_s) > at_s:
+                break
+            self.generation = version.generation
+            self.acknowledgements.release(version.generation, at_s)
+        waiting, self.held = self.held, []
+        for held in waiting:
+            held.reply.answer(self.encoder.changes(held.generation, self.generation))
+        self.schedule_release()
+
+    def _expire(self, held: Held) -> None:
+        if held in self.held:
+            self.held.remove(held)
+            held.reply.answer(self.encoder.changes(held.generation, self.generation))
+
+
+class AgentConnection(asyncio.Protocol):
+    """One connection of a balancer to its agent."""
+
+    def __init__(self, agent: Agent, now_s: Callable[[], float], rearm: Callable[[], None]) -> None:
+        self._agent = agent
+        self._now_s = now_s
+        self._rearm = rearm
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Part of asyncio.Protocol."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Part of asyncio.Protocol."""
+        self._transport = None
+
+    def data_received(self, data: bytes) -> None:
+        """Part of asyncio.Protocol."""
+        self._agent.traffic.received_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self._transport is not None:
+                self._transport.close()
+        self._rearm()
+
+    def on_message_begin(self) -> None:
+        """Part of the parser's callbacks."""
+        self._target = b""
+
+    def on_url(self, url: bytes) -> None:
+        """Part of the parser's callbacks."""
+        self._target += url
+
+    def on_message_complete(self) -> None:
+        """Part of the parser's callbacks."""
+        call = parse_call(self._target)
+        if call is None or self._parser.get_method() != b"GET":
+            self._write(NOT_FOUND)
+        else:
+            self._agent.called(call, self, self._now_s())
+
+    def answer(self, body: bytes) -> None:
+        """Part of `Reply`."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self._write(head + body)
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._agent.traffic.sent_bytes += len(data)
+            self._transport.write(data)
+
+
+def parse_call(target: bytes) -> Call | None:
+    """The call that a request target makes; None if it makes none."""
+    path, _, query = target.partition(b"?")
+    if path != PATH:
+        return None
+    values = parse_qs(query.decode("latin-1"))
+    try:
+        generation = int(values["from"][0]) if "from" in values else None
+        hold_ms = int(values.get("hold_ms", ["0"])[0])
+    except ValueError:
+        return None
+    return Call(generation, min(max(hold_ms, 0), LONGEST_HOLD_MS))
--- /dev/null
+++ b/emulator/fleet/discovery_encoding.py
@@ -0,0 +1,101 @@
+"""Discovery's answers as bytes: each whole list and each set of changes is encoded once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import lru_cache
+
+import msgspec
+
+from emulator.fleet.contract import AddressPlan
+from emulator.fleet.discovery_list import FIRST_GENERATION, Entry, ListVersion, merged, whole
+from emulator.fleet.layout import Layout, instance_id
+from emulator.fleet.settings_for_balancers import host_port
+
+KEPT_LISTS = 4  # agents of one region are at most a few versions apart
+KEPT_CHANGES = 1024
+
+
+class Instance(msgspec.Struct, frozen=True, rename="camel"):
+    """One entry in discovery's published form."""
+
+    instance_id: str
+    host_port: str
+    zone: str
+    machine_type: str
+    cell: int
+    lifecycle: str
+    weight: float
+    started_at_ms: int
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """A whole list (`reset`) or changes, in discovery's published form."""
+
+    generation: int
+    reset: bool
+    instances: list[Instance]
+
+
+class InstanceWriter:
+    """Turns entries into their published form."""
+
+    def __init__(
+        self,
+        layout: Layout,
+        addresses: AddressPlan,
+        kinds: Sequence[str],
+        unix_ms: Callable[[float], int],
+    ) -> None:
+        self._layout = layout
+        self._kinds = kinds
+        self._unix_ms = unix_ms
+        self._host_ports = [host_port(addresses.server(place.number)) for place in layout.servers]
+
+    def write(self, entry: Entry) -> Instance:
+        """One entry in its published form."""
+        place = self._layout.servers[entry.server]
+        return Instance(
+            instance_id=instance_id(entry.server, entry.replacements),
+            host_port=self._host_ports[entry.server],
+            zone=self._layout.zone_names[place.zone],
+            machine_type=self._kinds[place.kind],
+            cell=place.cell,
+            lifecycle=entry.lifecycle.value,
+            weight=1.0,
+            started_at_ms=0 if entry.started_s is None else self._unix_ms(entry.started_s),
+        )
+
+
+class RegionEncoder:
+    """The answers that the agents of one region give."""
+
+    def __init__(self, versions: Sequence[ListVersion], servers: int, writer: InstanceWriter) -> None:
+        self._versions = versions
+        self._servers = servers
+        self._writer = writer
+        self.whole_list = lru_cache(KEPT_LISTS)(self._whole_list)
+        self.changes = lru_cache(KEPT_CHANGES)(self._changes)
+
+    def _whole_list(self, generation: int) -> bytes:
+        """The body of the whole list of a generation."""
+        entries = whole(self._servers, self._versions[: generation - FIRST_GENERATION])
+        return self._encode(generation, True, entries)
+
+    def _changes(self, begin: int, end: int) -> bytes:
+        """The body of the changes from one generation to a later one."""
+        between = self._versions[begin - FIRST_GENERATION : end - FIRST_GENERATION]
+        return self._encode(end, False, merged(between))
+
+    def _encode(self, generation: int, reset: bool, entries: Sequence[Entry]) -> bytes:
+        instances = [self._writer.write(entry) for entry in entries]
+        return msgspec.json.encode(Listing(generation, reset, instances))
+
+
+def known_list(
+    layout: Layout, addresses: AddressPlan, kinds: Sequence[str], servers: int | None = None
+) -> Listing:
+    """The list at the start of a run, for a balancer's `known`; of the first servers only, if told."""
+    writer = InstanceWriter(layout, addresses, kinds, lambda _: 0)
+    entries = whole(len(layout.servers) if servers is None else servers, ())
+    return Listing(FIRST_GENERATION, True, [writer.write(entry) for entry in entries])
--- /dev/null
+++ b/emulator/fleet/photo_server_batch.py
@@ -0,0 +1,104 @@
+"""Attempts of hollow balancers: batches over one TCP connection from each of their processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from emulator.fleet.contract import AttemptBatch, Result, ResultBatch, frame, split_frames
+from emulator.fleet.photo_server_group import Attempted, PhotoServerGroup
+
+MAX_RECEIVED = 16 * 1024 * 1024  # bytes of a batch that is not whole yet
+FORGET_S = 1.0  # after its time-out, an attempt is not kept for a cancel any more
+
+
+class BatchConnection(asyncio.Protocol):
+    """One process of hollow balancers."""
+
+    def __init__(
+        self,
+        group: PhotoServerGroup,
+        now_s: Callable[[], float],
+        changed: Callable[[], None],
+        connections: set[BatchConnection],
+    ) -> None:
+        self._group = group
+        self._now_s = now_s
+        self._changed = changed  # to be called when there may be new deadlines or results
+        self._connections = connections
+        self._decoder: msgspec.msgpack.Decoder[AttemptBatch] = msgspec.msgpack.Decoder(AttemptBatch)
+        self._received = bytearray()
+        self._open: dict[int, Attempted] = {}
+        self._results: list[Result] = []
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Part of asyncio.Protocol."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Part of asyncio.Protocol: the process is gone, and nobody waits for its attempts any more."""
+        self._transport = None
+        self._connections.discard(self)
+        for attempt in self._open.values():
+            self._group.cancel(attempt)
+        self._open.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Part of asyncio.Protocol."""
+        self._received += data
+        try:
+            for body in split_frames(self._received):
+                self._take(self._decoder.decode(body))
+        except msgspec.DecodeError:
+            self._abort()
+        if len(self._received) > MAX_RECEIVED:
+            self._abort()
+        self._changed()
+
+    def deliver(self, attempt: Attempted) -> None:
+        """Part of `Reply`."""
+        if self._open.pop(attempt.number, None) is not None and attempt.outcome is not None:
+            service_us = int(attempt.service_s * 1e6)
+            name = attempt.outcome.name
+            self._results.append(Result(attempt.number, name, attempt.in_flight, service_us))
+
+    def flush(self) -> None:
+        """Send the results that have gathered."""
+        if self._results and self._transport is not None:
+            self._transport.write(frame(ResultBatch(self._results)))
+        self._results = []
+
+    def forget_expired(self, now_s: float) -> None:
+        """Keep no attempt that its balancer has long given up."""
+        expired = [number for number, attempt in self._open.items() if attempt.expires_s < now_s - FORGET_S]
+        for number in expired:
+            self._group.cancel(self._open.pop(number))
+
+    def _take(self, batch: AttemptBatch) -> None:
+        now_s = self._now_s()
+        for attempt in batch.attempts:
+            if not self._group.hosts(attempt.server, attempt.balancer):
+                self._abort()
+                return
+            self._open[attempt.number] = self._group.submit(
+                now_s,
+                self,
+                attempt.number,
+                attempt.server,
+                attempt.balancer,
+                attempt.work_us / 1e6,
+                attempt.wait_us / 1e6,
+            )
+        for number in batch.cancelled:
+            cancelled = self._open.pop(number, None)
+            if cancelled is not None:
+                self._group.cancel(cancelled)
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
--- /dev/null
+++ b/emulator/fleet/photo_server_http.py
@@ -0,0 +1,205 @@
+"""Photo servers on loopback sockets: HTTP/1.1 at an address of its own for each server."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import cast
+from urllib.parse import parse_qs
+
+import httptools
+
+from dykeshift.interface import Outcome
+from emulator.fleet.contract import Address
+from emulator.fleet.photo_server_group import Attempted, PhotoServerGroup
+from emulator.fleet.settings_for_balancers import REPORT_FIELDS
+
+BACKLOG = 128
+DEFAULT_WAIT_S = 4.0  # for a request that does not tell its deadline
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+NOT_RUN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class HttpContext:
+    """What all connections of a process share."""
+
+    def __init__(
+        self,
+        group: PhotoServerGroup,
+        mean_work_s: float,
+        now_s: Callable[[], float],
+        changed: Callable[[], None],
+    ) -> None:
+        self.group = group
+        self.mean_work_s = mean_work_s
+        self.now_s = now_s
+        self.changed = changed  # to be called when there may be new deadlines
+
+
+class Endpoint:
+    """The socket of one photo server, and the connections to it."""
+
+    def __init__(self, number: int, address: Address, context: HttpContext) -> None:
+        self.number = number
+        self.context = context
+        self.connections: set[HttpConnection] = set()
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._black_hole: list[socket.socket] = []
+
+    async def listen(self) -> None:
+        """Accept connections."""
+        self._close_black_hole()
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: HttpConnection(self), self._address.host, self._address.port, backlog=BACKLOG
+        )
+
+    def stop(self) -> None:
+        """The process has ended: connections break, new ones are refused."""
+        self._close_black_hole()
+        self._close_server()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def vanish(self) -> None:
+        """The machine is gone: connections stay silent, new ones never come up."""
+        self._close_server()
+        self._open_black_hole()
+
+    def _close_server(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _open_black_hole(self) -> None:
+        """Listen with the shortest queue and fill it: the kernel drops every further connect."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        address = (self._address.host, self._address.port)
+        listener.bind(address)
+        listener.listen(0)
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(address)
+        self._black_hole = [listener, filler]
+
+    def _close_black_hole(self) -> None:
+        for held in self._black_hole:
+            held.close()
+        self._black_hole = []
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection of a real balancer to a photo server; one request at a time."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._context = endpoint.context
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._attempt: Attempted | None = None
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+
+    def abort(self) -> None:
+        """Break the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- callbacks of the transport ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Part of asyncio.Protocol."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._endpoint.connections.add(self)
+        self._context.group.tables[self._endpoint.number].opened()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Part of asyncio.Protocol: whoever closes gives up what is out on the connection."""
+        self._transport = None
+        self._endpoint.connections.discard(self)
+        self._context.group.tables[self._endpoint.number].open -= 1
+        if self._attempt is not None:
+            self._context.group.cancel(self._attempt)
+            self._attempt = None
+
+    def data_received(self, data: bytes) -> None:
+        """Part of asyncio.Protocol."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+
+    # ---- callbacks of the parser ----
+
+    def on_message_begin(self) -> None:
+        """A request begins; a second one before the answer breaks the protocol."""
+        if self._attempt is not None:
+            self.abort()
+        self._target, self._headers = b"", {}
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
+        self._headers[name.lower()] = value
+
+    def on_message_complete(self) -> None:
+        """The request is whole: a photo server begins it now."""
+        if self._transport is None or self._attempt is not None:
+            return
+        if b"x-request-id" not in self._headers:
+            self._transport.write(NOT_FOUND)
+            return
+        context = self._context
+        now_s = context.now_s()
+        wait_s = _number(self._headers.get(b"x-deadline-ms"), DEFAULT_WAIT_S * 1e3) / 1e3
+        query = parse_qs(self._target.partition(b"?")[2])
+        work_us = self._headers.get(b"x-work-us") or query.get(b"work_us", [b""])[0]
+        balancer = int(_number(query.get(b"balancer", [b""])[0], 0.0))
+        if not context.group.hosts(self._endpoint.number, balancer):
+            balancer = 0
+        self._attempt = context.group.submit(
+            now_s,
+            self,
+            0,
+            self._endpoint.number,
+            balancer,
+            _number(work_us, context.mean_work_s * 1e6) / 1e6,
+            wait_s,
+            over_http=True,
+        )
+        context.changed()
+
+    # ---- the answer ----
+
+    def deliver(self, attempt: Attempted) -> None:
+        """Part of `Reply`."""
+        if attempt is not self._attempt or self._transport is None:
+            return
+        self._attempt = None
+        if attempt.outcome is Outcome.OK:
+            self._transport.write(self._served(attempt))
+        elif attempt.outcome is Outcome.FULL:
+            self._transport.write(NOT_RUN)
+        else:
+            self.abort()
+
+    def _served(self, attempt: Attempted) -> bytes:
+        body = b'{"served":"%s","server":%d}' % (self._headers[b"x-request-id"], attempt.server)
+        in_flight, service_ms = REPORT_FIELDS
+        report = f'{{"{in_flight}":{attempt.in_flight},"{service_ms}":{attempt.service_s * 1e3:.3f}}}'
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            f"X-Load: {report}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+def _number(text: bytes | None, default: float) -> float:
+    """A whole number of a header or query; the default if it is missing or something else."""
+    return float(text) if text and text.isdigit() else default
--- /dev/null
+++ b/emulator/fleet/photo_server_process.py
@@ -0,0 +1,144 @@
+"""Stand-in photo servers as a process: `python -m emulator.fleet.photo_server_process`.
+
+Of k such processes, process i hosts the servers whose number leaves i when divided by k. Attempts come over
+HTTP from real balancers and in batches from hollow ones, and meet the same models.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from emulator.fleet import timeline as events
+from emulator.fleet.deadlines import Pacemaker
+from emulator.fleet.photo_server_batch import BatchConnection
+from emulator.fleet.photo_server_group import PhotoServerGroup
+from emulator.fleet.photo_server_http import Endpoint, HttpContext
+from emulator.fleet.process import Clock, Fleet, run_child, say
+
+ROLE = "photo_server"
+BATCH_HOST = "127.0.0.1"
+
+
+class PhotoServerPart:
+    """The models of one process, their sockets and their measures."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        config, scenario = fleet.config, fleet.scenario
+        self.fleet = fleet
+        self.clock = Clock(0)
+        self.group = PhotoServerGroup(
+            scenario, fleet.layout, fleet.timeline, config.seed, config.index, config.processes
+        )
+        context = HttpContext(self.group, scenario.mean_work_s(), self._now_s, self._rearm)
+        self.endpoints = {
+            number: Endpoint(number, config.addresses.server(number), context)
+            for number in self.group.servers
+        }
+        self.batch_connections: set[BatchConnection] = set()
+        self.servers: list[asyncio.Server] = []
+        self.pacemaker: Pacemaker | None = None
+        self._known_falls = 0
+        self._listening: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        """Listen at every server's address, and for batches."""
+        for endpoint in self.endpoints.values():
+            await endpoint.listen()
+        port = self.fleet.config.addresses.shard_ports[self.fleet.config.index]
+        loop = asyncio.get_running_loop()
+        self.servers.append(
+            await loop.create_server(
+                lambda: BatchConnection(self.group, self._now_s, self._rearm, self.batch_connections),
+                BATCH_HOST,
+                port,
+            )
+        )
+
+    def start(self, clock: Clock) -> None:
+        """Serve deadlines from here on."""
+        self.clock = clock
+        self.pacemaker = Pacemaker(asyncio.get_running_loop(), clock.now_s, self)
+        self.pacemaker.rearm()
+
+    def apply(self, event: events.Event) -> None:
+        """An event happens to the models and to their sockets."""
+        self.group.apply(event)
+        match event:
+            case events.ServersStopped():
+                for endpoint in self._hosted(event.servers):
+                    endpoint.stop()
+            case events.ServersVanished():
+                for endpoint in self._hosted(event.servers):
+                    endpoint.vanish()
+            case events.ServersStarted():
+                self._spawn_restart(self._hosted(event.servers))
+        self._flush()
+        self._rearm()
+
+    def next_deadline(self) -> float | None:
+        """Part of `Paced`."""
+        return self.group.next_deadline()
+
+    def advance(self, now_s: float) -> None:
+        """Part of `Paced`: serve the models' deadlines and send what came of them."""
+        self.group.advance(now_s)
+        self._flush()
+
+    def measure(self, at_s: float) -> None:
+        """Report one second."""
+        for connection in self.batch_connections:
+            connection.forget_expired(at_s)
+        say(self.group.second(at_s))
+
+    def finish(self) -> None:
+        """Report the whole run and close the sockets."""
+        say(self.group.total(self.clock.now_s()))
+        self.close()
+
+    def close(self) -> None:
+        """Listen no more and call nothing any more."""
+        if self.pacemaker is not None:
+            self.pacemaker.stop()
+        for server in self.servers:
+            server.close()
+        for endpoint in self.endpoints.values():
+            endpoint.stop()
+
+    def _hosted(self, numbers: tuple[int, ...]) -> list[Endpoint]:
+        return [self.endpoints[number] for number in numbers if number in self.endpoints]
+
+    def _flush(self) -> None:
+        falls = self.group.server_counts.falls
+        for fall in falls[self._known_falls :]:
+            self.endpoints[fall.server].stop()
+        self._known_falls = len(falls)
+        for connection in self.batch_connections:
+            connection.flush()
+
+    def _spawn_restart(self, endpoints: list[Endpoint]) -> None:
+        task = asyncio.get_running_loop().create_task(_restart(endpoints))
+        self._listening.add(task)
+        task.add_done_callback(self._listening.discard)
+
+    def _now_s(self) -> float:
+        return self.clock.now_s()
+
+    def _rearm(self) -> None:
+        if self.pacemaker is not None:
+            self.pacemaker.rearm()
+
+
+async def _restart(endpoints: list[Endpoint]) -> None:
+    for endpoint in endpoints:
+        endpoint.stop()
+        await endpoint.listen()
+
+
+def main() -> int:
+    """Run stand-in photo servers until standard input ends."""
+    return run_child(ROLE, PhotoServerPart)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/emulator/fleet/scenario.py
+++ b/emulator/fleet/scenario.py
@@ -183,6 +183,10 @@
         """How many servers each zone has, in the order of `zones`."""
         return apportion(self.servers.count, [zone.server_share for zone in self.zones()])
 
+    def mean_work_s(self) -> float:
+        """Mean processor time of a request, on a core of speed 1."""
+        return sum(klass.share * klass.work_ms for klass in self.classes) / 1e3
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
