End photo server processes at once when their input ends, and spend less on each attempt

A shard went on for 271 s after its input had ended: its batch connections stayed open and a sender that did not stop kept the loop busy.

--- a/emulator/fleet/photo_server.py
+++ b/emulator/fleet/photo_server.py
@@ -30,6 +30,11 @@
     FALLEN = enum.auto()  # was overloaded while cold; stays down until it is started again
 
 
+# Members looked up once: these are compared for every attempt.
+RUNNING, DRAINING, STOPPED, VANISHED, FALLEN = State
+OK, FULL, RESET, CONNECT_FAILED = Outcome.OK, Outcome.FULL, Outcome.RESET, Outcome.CONNECT_FAILED
+
+
 class Job:
     """One attempt at one server, from its arrival until its end."""
 
@@ -136,7 +141,7 @@
         counts: ServerCounts,
     ) -> None:
         self.place = place
-        self.state = State.RUNNING
+        self.state = RUNNING
         self.hung = False
         self.in_flight = 0  # jobs on cores and in the queue that are not dropped
         self.service_s = 0.0  # recent time on a core
@@ -158,14 +163,13 @@
 
     def offer(self, now_s: float, job: Job) -> Outcome | None:
         """Take a request that has arrived; an outcome if it ends at once, None if it is taken or lost."""
-        if self.state is State.STOPPED or self.state is State.FALLEN:
-            return Outcome.CONNECT_FAILED
-        if self.state is State.VANISHED:
-            return None
+        state = self.state
+        if state is not RUNNING and state is not DRAINING:
+            return None if state is VANISHED else CONNECT_FAILED
         if now_s < self._started_s + self._cold.warm_s and self._feels_pressure(now_s, job):
-            return Outcome.RESET
-        if self.state is State.DRAINING or self._live_waiting >= self._queue_limit:
-            return Outcome.FULL
+            return RESET
+        if state is DRAINING or self._live_waiting >= self._queue_limit:
+            return FULL
         self.in_flight += 1
         if len(self._running) < self.place.cores:
             self._begin(now_s, job)
@@ -198,26 +202,26 @@
         self.service_s += weight * (sample - self.service_s)
         self._begin_waiting(now_s)
         if not job.abandoned:
-            job.ended(job, Outcome.OK, self)
+            job.ended(job, OK, self)
 
     # ---- events ----
 
     def drain(self, now_s: float) -> None:
         """Take nothing new, finish what is there."""
-        if self.state is State.RUNNING:
-            self.state, self.drained_s = State.DRAINING, now_s
+        if self.state is RUNNING:
+            self.state, self.drained_s = DRAINING, now_s
 
     def stop(self, now_s: float) -> None:
         """End the process: whatever is open ends as a reset."""
-        self._go_down(now_s, State.STOPPED, silent=False)
+        self._go_down(now_s, STOPPED, silent=False)
 
     def vanish(self, now_s: float) -> None:
         """Lose the machine: nothing is said to anyone."""
-        self._go_down(now_s, State.VANISHED, silent=True)
+        self._go_down(now_s, VANISHED, silent=True)
 
     def start(self, now_s: float) -> None:
         """Start anew and cold."""
-        self._go_down(now_s, State.RUNNING, silent=True)
+        self._go_down(now_s, RUNNING, silent=True)
         self.hung, self._slow_factor = False, 1.0
         self.drained_s = None
         self.service_s = 0.0
@@ -284,7 +288,7 @@
             return False
         balancers = len({balancer for _, _, balancer in window})
         self._counts.falls.append(Fall(self.place.number, now_s, balancers, len(window), budget))
-        self._go_down(now_s, State.FALLEN, silent=False)
+        self._go_down(now_s, FALLEN, silent=False)
         return True
 
     def _begin(self, now_s: float, job: Job) -> None:
@@ -364,4 +368,4 @@
         for job in jobs:
             job.over, job.waiting = True, False
             if not silent and not job.abandoned:
-                job.ended(job, Outcome.RESET, self)
+                job.ended(job, RESET, self)
--- a/emulator/fleet/photo_server_batch.py
+++ b/emulator/fleet/photo_server_batch.py
@@ -55,9 +55,9 @@
             for body in split_frames(self._received):
                 self._take(self._decoder.decode(body))
         except msgspec.DecodeError:
-            self._abort()
+            self.abort()
         if len(self._received) > MAX_RECEIVED:
-            self._abort()
+            self.abort()
         self._changed()
 
     def deliver(self, attempt: Attempted) -> None:
@@ -83,7 +83,7 @@
         now_s = self._now_s()
         for attempt in batch.attempts:
             if not self._group.hosts(attempt.server, attempt.balancer):
-                self._abort()
+                self.abort()
                 return
             self._open[attempt.number] = self._group.submit(
                 now_s,
@@ -99,6 +99,7 @@
             if cancelled is not None:
                 self._group.cancel(cancelled)
 
-    def _abort(self) -> None:
+    def abort(self) -> None:
+        """Break the connection."""
         if self._transport is not None:
             self._transport.abort()
--- a/emulator/fleet/photo_server_group.py
+++ b/emulator/fleet/photo_server_group.py
@@ -10,6 +10,7 @@
 from emulator.fleet import timeline as events
 from emulator.fleet.discovery_list import Schedule, ToldLifecycles
 from emulator.fleet.layout import Layout
+from emulator.fleet.photo_server import CONNECT_FAILED, FALLEN, FULL, OK, RESET, RUNNING, VANISHED
 from emulator.fleet.photo_server import Fall, Job, PhotoServer, ServerCounts, State
 from emulator.fleet.photo_server_connections import ConnectionTable
 from emulator.fleet.photo_server_measures import AttemptCounts, FallMeasure, PhotoServersSecond
@@ -18,6 +19,7 @@
 from emulator.fleet.settings_for_balancers import CONNECT_TIMEOUT_S, DRAIN_GRACE_S, KEEPALIVE_S
 
 SOCKET_SLACK_S = 0.05  # by which every time limit is longer on sockets
+TIMER_GRAIN_S = 0.0005  # an answer that takes less than this to come back comes at once
 SWEEP_PARTS = 8  # the tables of so many parts of the servers are swept in turn, one each second
 
 ARRIVE, FINISH, RETURN = range(3)  # kinds of deadlines
@@ -124,7 +126,7 @@
         attempt.delay_s = self.layout.delays_s[zone][hosted.place.zone]
         self.counts.attempts += 1
         self.counts.http += over_http
-        if hosted.state is State.VANISHED or (self._splits and self._is_cut(attempt)):
+        if hosted.state is VANISHED or (self._splits and self._is_cut(attempt)):
             self._send_into_silence(now_s, attempt)
             return attempt
         arrival_s = now_s + attempt.delay_s
@@ -263,7 +265,7 @@
                 table.take(attempt.balancer, now_s)
             self._lose(attempt)
             return
-        attempt.outcome = Outcome.CONNECT_FAILED
+        attempt.outcome = CONNECT_FAILED
         self.counts.connect_failed += 1
         self._push(now_s + CONNECT_TIMEOUT_S, RETURN, attempt)
 
@@ -272,14 +274,14 @@
             self.server_counts.dropped += 1
             return
         server = self.servers[attempt.server]
-        if server.state is not State.RUNNING:
+        if server.state is not RUNNING:
             self._check_told(attempt)
         outcome = server.offer(at_s, attempt)
         if outcome is not None:
             self._ended(attempt, outcome, server)
-            if server.state is State.FALLEN:
+            if server.state is FALLEN:
                 self.tables[attempt.server].close_all()
-        elif server.state is State.VANISHED:
+        elif server.state is VANISHED:
             self._lose(attempt)
 
     def _lose(self, attempt: Attempted) -> None:
@@ -294,19 +296,21 @@
     def _ended(self, job: Job, outcome: Outcome, server: PhotoServer) -> None:
         assert isinstance(job, Attempted)
         job.outcome, job.in_flight, job.service_s = outcome, server.in_flight, server.service_s
-        match outcome:
-            case Outcome.OK:
-                self.counts.ok += 1
-            case Outcome.FULL:
-                self.counts.full += 1
-            case Outcome.RESET:
-                self.counts.reset += 1
-            case _:
-                self.counts.connect_failed += 1
+        if outcome is OK:
+            self.counts.ok += 1
+        elif outcome is FULL:
+            self.counts.full += 1
+        elif outcome is RESET:
+            self.counts.reset += 1
+        else:
+            self.counts.connect_failed += 1
         if not job.over_http:
-            keep = outcome is Outcome.OK or outcome is Outcome.FULL
+            keep = outcome is OK or outcome is FULL
             self.tables[job.server].give_back(job.balancer, self.now_s, keep=keep)
-        self._push(self.now_s + job.delay_s, RETURN, job)
+        if job.delay_s < TIMER_GRAIN_S:
+            self._return(job)
+        else:
+            self._push(self.now_s + job.delay_s, RETURN, job)
 
     def _return(self, attempt: Attempted) -> None:
         if attempt.abandoned or (self._splits and self._is_cut(attempt)):
--- a/emulator/fleet/photo_server_process.py
+++ b/emulator/fleet/photo_server_process.py
@@ -102,6 +102,8 @@
             self.pacemaker.stop()
         for server in self.servers:
             server.close()
+        for connection in list(self.batch_connections):
+            connection.abort()
         for endpoint in self.endpoints.values():
             endpoint.stop()
 
--- a/emulator/fleet/process.py
+++ b/emulator/fleet/process.py
@@ -25,6 +25,7 @@
 from emulator.fleet.timeline import Event, build_timeline
 
 MEASURE_PERIOD_S = 1.0
+COLLECTION_THRESHOLDS = (50_000, 20, 100)  # rare: hardly anything here is in a cycle
 MAX_LINE = 1 << 20  # bytes of one line on standard input
 
 
@@ -123,9 +124,14 @@
         self._clock = clock
         self._part = part
         self._due_s = MEASURE_PERIOD_S
+        self._timer: asyncio.TimerHandle | None = None
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
 
     def schedule(self) -> None:
-        self._loop.call_later(max(0.0, self._due_s - self._clock.now_s()), self._measure)
+        self._timer = self._loop.call_later(max(0.0, self._due_s - self._clock.now_s()), self._measure)
 
     def _measure(self) -> None:
         self._part.measure(self._due_s)
@@ -155,6 +161,7 @@
     await part.listen()
     gc.collect()
     gc.freeze()  # what lives as long as the process is not walked again by each collection
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     say(Ready(role, config.index))
     start = await _read(lines, Start)
     if start is None:
@@ -162,9 +169,11 @@
     clock = Clock(start.monotonic_ns)
     part.start(clock)
     TimelinePlayer(loop, clock, fleet.timeline, part.apply).play()
-    _Measurer(loop, clock, part).schedule()
+    measurer = _Measurer(loop, clock, part)
+    measurer.schedule()
     while await lines.readline():
         pass  # nothing more is said; its end is the signal
+    measurer.stop()
     part.finish()
 
 
--- a/emulator/fleet/timeline.py
+++ b/emulator/fleet/timeline.py
@@ -15,7 +15,8 @@
 from emulator.fleet.layout import Layout, build_layout
 from emulator.fleet.scenario import SECONDS_PER_DAY, Scenario
 
-DRAWS = 50  # tries to find a server that nothing else happens to at the time
+DRAWS = 50  # tries to find one server that nothing else happens to at the time
+MANY = 20  # a draw of more than one in so many looks at all candidates instead
 
 
 class Event(msgspec.Struct, frozen=True, tag=True):
@@ -300,15 +301,26 @@
         candidates = self._candidates(zone)
         if not candidates:
             return []
-        if count > 1:
+        if count * MANY > len(candidates):
             free = [server for server in candidates if self.occupancy.is_free(server, begin_s, end_s)]
             drawn = random.sample(free, min(count, len(free)))
         else:
-            draws = (random.choice(candidates) for _ in range(DRAWS * count))
-            drawn = [server for server in draws if self.occupancy.is_free(server, begin_s, end_s)][:1]
+            drawn = self._draw_few(random, count, candidates, begin_s, end_s)
         self.occupancy.reserve(drawn, begin_s, end_s)
         return drawn
 
+    def _draw_few(
+        self, random: Random, count: int, candidates: Sequence[int], begin_s: float, end_s: float
+    ) -> list[int]:
+        drawn: list[int] = []
+        for _ in range(DRAWS * count):
+            server = random.choice(candidates)
+            if server not in drawn and self.occupancy.is_free(server, begin_s, end_s):
+                drawn.append(server)
+                if len(drawn) == count:
+                    break
+        return drawn
+
     def _add_outage(self, servers: Sequence[int], begin_s: float, end_s: float, *, replaced: bool) -> None:
         if servers:
             self.occupancy.reserve(servers, begin_s, end_s)
