--- a/emulator/fleet/discovery.py
+++ b/emulator/fleet/discovery.py
@@ -13,6 +13,7 @@
 from emulator.fleet.discovery_encoding import InstanceWriter, RegionEncoder
 from emulator.fleet.discovery_list import Schedule
 from emulator.fleet.discovery_measures import Acknowledgements, DiscoverySecond, DiscoveryTotal, Series
+from emulator.fleet.discovery_transfers import Transfers
 from emulator.fleet.process import Clock, Fleet, run_child, say
 
 ROLE = "discovery"
@@ -28,6 +29,7 @@
         self.releases = DeadlineHeap()
         self.hollow, self.real = Series(), Series()
         self.traffic, self.reported = Traffic(), Traffic()
+        self.transfers = Transfers(self._call_later)
         self.agents = self._make_agents()
         self.pacemaker: Pacemaker | None = None
         self.servers: list[asyncio.Server] = []
@@ -63,7 +65,7 @@
             address = self.fleet.config.addresses.agent(number)
             self.servers.append(
                 await loop.create_server(
-                    partial(AgentConnection, agent, self._now_s, self._rearm),
+                    partial(AgentConnection, agent, self.transfers, self._now_s, self._rearm),
                     address.host,
                     address.port,
                     backlog=BACKLOG,
--- a/emulator/fleet/discovery_agent.py
+++ b/emulator/fleet/discovery_agent.py
@@ -14,6 +14,7 @@
 from emulator.fleet.discovery_encoding import RegionEncoder
 from emulator.fleet.discovery_list import FIRST_GENERATION, ListVersion
 from emulator.fleet.discovery_measures import Acknowledgements
+from emulator.fleet.discovery_transfers import Transfers
 
 PATH = b"/v1/endpoints"
 LONGEST_HOLD_MS = 60_000
@@ -128,8 +129,15 @@
 class AgentConnection(asyncio.Protocol):
     """One connection of a balancer to its agent."""
 
-    def __init__(self, agent: Agent, now_s: Callable[[], float], rearm: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        agent: Agent,
+        transfers: Transfers,
+        now_s: Callable[[], float],
+        rearm: Callable[[], None],
+    ) -> None:
         self._agent = agent
+        self._transfers = transfers
         self._now_s = now_s
         self._rearm = rearm
         self._parser = httptools.HttpRequestParser(self)
@@ -143,6 +151,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Part of asyncio.Protocol."""
         self._transport = None
+        self._transfers.finished(self)
 
     def data_received(self, data: bytes) -> None:
         """Part of asyncio.Protocol."""
@@ -164,18 +173,23 @@
 
     def on_message_complete(self) -> None:
         """Part of the parser's callbacks."""
+        self._transfers.finished(self)
         call = parse_call(self._target)
         if call is None or self._parser.get_method() != b"GET":
-            self._write(NOT_FOUND)
+            self._send(NOT_FOUND)
         else:
             self._agent.called(call, self, self._now_s())
 
     def answer(self, body: bytes) -> None:
         """Part of `Reply`."""
+        self._transfers.send(self, body)
+
+    def write(self, body: bytes) -> None:
+        """Part of `Receiver`."""
         head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
-        self._write(head + body)
+        self._send(head + body)
 
-    def _write(self, data: bytes) -> None:
+    def _send(self, data: bytes) -> None:
         if self._transport is not None:
             self._agent.traffic.sent_bytes += len(data)
             self._transport.write(data)
