Tell the start of a stand-in server with the same Unix time in every list

Clock.unix_ms read both clocks on each call, so that startedAtMs of one start could differ by a millisecond between a whole list and a change, which a balancer takes for another restart.

--- a/emulator/fleet/process.py
+++ b/emulator/fleet/process.py
@@ -54,6 +54,8 @@
 
     def __init__(self, start_ns: int) -> None:
         self._start_ns = start_ns
+        # Taken once: the same moment has to be the same Unix time whenever it is told.
+        self._unix_start_ns = time.time_ns() + start_ns - time.monotonic_ns()
 
     def now_s(self) -> float:
         """Seconds since the start; negative before it."""
@@ -61,8 +63,7 @@
 
     def unix_ms(self, at_s: float) -> int:
         """The Unix time of a moment of the scenario, in milliseconds."""
-        start = time.time_ns() + self._start_ns - time.monotonic_ns()
-        return int(start / 1e6 + at_s * 1e3)
+        return int(self._unix_start_ns / 1e6 + at_s * 1e3)
 
 
 class Part(Protocol):
