Join whole lists from encoded entries, and send none to who has hung up

Encoding a whole list took 117 ms for each version and region, in which no agent answered, and large answers went to balancers that had given up already.

--- a/emulator/fleet/discovery_agent.py
+++ b/emulator/fleet/discovery_agent.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from dykeshift.node.http1 import has_ended
 from emulator.fleet.deadlines import DeadlineHeap
 from emulator.fleet.discovery_encoding import RegionEncoder
 from emulator.fleet.discovery_list import FIRST_GENERATION, ListVersion
@@ -184,6 +185,10 @@
         """Part of `Reply`."""
         self._transfers.send(self, body)
 
+    def has_given_up(self) -> bool:
+        """Part of `Receiver`."""
+        return self._transport is None or has_ended(self._transport.get_extra_info("socket"))
+
     def write(self, body: bytes) -> None:
         """Part of `Receiver`."""
         head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
--- a/emulator/fleet/discovery_encoding.py
+++ b/emulator/fleet/discovery_encoding.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from functools import lru_cache
 
 import msgspec
 
 from emulator.fleet.contract import AddressPlan
-from emulator.fleet.discovery_list import FIRST_GENERATION, Entry, ListVersion, merged, whole
+from emulator.fleet.discovery_list import FIRST_GENERATION, Entry, Lifecycle, ListVersion, merged, whole
 from emulator.fleet.layout import Layout, instance_id
 from emulator.fleet.settings_for_balancers import host_port
 
@@ -68,28 +68,43 @@
 
 
 class RegionEncoder:
-    """The answers that the agents of one region give."""
+    """The answers that the agents of one region give.
+
+    A whole list is joined from entries that are encoded already: to encode all of them for each new version
+    would keep every agent from answering in time.
+    """
 
     def __init__(self, versions: Sequence[ListVersion], servers: int, writer: InstanceWriter) -> None:
         self._versions = versions
-        self._servers = servers
         self._writer = writer
+        first = whole(servers, ())
+        self._first_rows = {(entry.server, entry.replacements): self._row(entry) for entry in first}
         self.whole_list = lru_cache(KEPT_LISTS)(self._whole_list)
         self.changes = lru_cache(KEPT_CHANGES)(self._changes)
 
     def _whole_list(self, generation: int) -> bytes:
         """The body of the whole list of a generation."""
-        entries = whole(self._servers, self._versions[: generation - FIRST_GENERATION])
-        return self._encode(generation, True, entries)
+        rows = self._first_rows.copy()
+        for entry in merged(self._versions[: generation - FIRST_GENERATION]):
+            key = (entry.server, entry.replacements)
+            if entry.lifecycle is Lifecycle.LEFT:
+                rows.pop(key, None)
+            else:
+                rows[key] = self._row(entry)
+        return _listing(generation, b"true", rows.values())
 
     def _changes(self, begin: int, end: int) -> bytes:
         """The body of the changes from one generation to a later one."""
         between = self._versions[begin - FIRST_GENERATION : end - FIRST_GENERATION]
-        return self._encode(end, False, merged(between))
+        return _listing(end, b"false", map(self._row, merged(between)))
+
+    def _row(self, entry: Entry) -> bytes:
+        return msgspec.json.encode(self._writer.write(entry))
+
 
-    def _encode(self, generation: int, reset: bool, entries: Sequence[Entry]) -> bytes:
-        instances = [self._writer.write(entry) for entry in entries]
-        return msgspec.json.encode(Listing(generation, reset, instances))
+def _listing(generation: int, reset: bytes, rows: Iterable[bytes]) -> bytes:
+    """`Listing` from entries that are encoded already."""
+    return b'{"generation":%d,"reset":%s,"instances":[%s]}' % (generation, reset, b",".join(rows))
 
 
 def known_list(
--- a/emulator/fleet/discovery_transfers.py
+++ b/emulator/fleet/discovery_transfers.py
@@ -19,6 +19,9 @@
 class Receiver(Protocol):
     """A connection that an answer is written to."""
 
+    def has_given_up(self) -> bool:
+        """Whether the balancer has closed the connection, be it that the event loop has not seen it yet."""
+
     def write(self, body: bytes) -> None:
         """Write the answer with this body; does nothing if the connection is gone."""
 
@@ -48,6 +51,8 @@
     def _fill(self) -> None:
         while self._waiting and len(self._active) < MOST_AT_ONCE:
             receiver, body = self._waiting.popitem()
+            if receiver.has_given_up():
+                continue
             turn = self._active[receiver] = object()
             receiver.write(body)
             self._call_later(TURN_S, partial(self._end_turn, receiver, turn))
--- a/tests/emulator/test_standins.py
+++ b/tests/emulator/test_standins.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import AsyncIterator, Coroutine, Iterator
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -30,6 +30,7 @@
     split_frames,
 )
 from emulator.fleet.discovery import DiscoveryPart
+from emulator.fleet.discovery_transfers import LARGE, MOST_AT_ONCE, Transfers
 from emulator.fleet.layout import build_layout
 from emulator.fleet.photo_server import State
 from emulator.fleet.photo_server_group import Attempted, PhotoServerGroup
@@ -367,6 +368,37 @@
     run(main())
 
 
+class Caller:
+    """A receiver of large answers that the test ends."""
+
+    def __init__(self) -> None:
+        self.written = 0
+        self.gone = False
+
+    def has_given_up(self) -> bool:
+        return self.gone
+
+    def write(self, body: bytes) -> None:
+        self.written += 1
+
+
+def test_large_answers_take_turns_and_none_is_lost_on_who_has_given_up() -> None:
+    timers: list[Callable[[], None]] = []
+    transfers = Transfers(lambda _, callback: timers.append(callback))
+    callers = [Caller() for _ in range(MOST_AT_ONCE + 3)]
+    for caller in callers:
+        transfers.send(caller, bytes(LARGE))
+    small = Caller()
+    transfers.send(small, b"{}")
+    assert [caller.written for caller in callers] == [1] * MOST_AT_ONCE + [0] * 3 and small.written
+    callers[-1].gone = True
+    transfers.finished(callers[0])  # the newest has given up: the one before it takes the turn
+    assert [caller.written for caller in callers[-3:]] == [0, 1, 0]
+    for callback in timers[:]:
+        callback()
+    assert [caller.written for caller in callers] == [1] * (MOST_AT_ONCE + 2) + [0]
+
+
 async def ask(part: PhotoServerPart, number: int, target: str, *headers: str) -> tuple[str, bytes]:
     """One request over HTTP; the head and the body of its answer."""
     address = part.fleet.config.addresses.server(number)
--- a/tests/emulator/test_timeline.py
+++ b/tests/emulator/test_timeline.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -14,9 +15,10 @@
 from dykeshift.settings import parse_settings
 from emulator.fleet import timeline as events
 from emulator.fleet.contract import AddressPlan
-from emulator.fleet.discovery_encoding import known_list
+from emulator.fleet.discovery_encoding import InstanceWriter, Listing, RegionEncoder, known_list
 from emulator.fleet.discovery_list import Lifecycle, Schedule, ToldLifecycles, merged, whole
 from emulator.fleet.layout import build_layout
+from emulator.fleet.process import Clock
 from emulator.fleet.scenario import Scenario, load_scenario
 from emulator.fleet.settings_for_balancers import node_config
 from emulator.fleet.timeline import build_timeline, timeline_digest
@@ -159,9 +161,27 @@
     assert len(listed) == 240 and (3, 0) not in listed
     assert listed[3, 1] == listed[4, 0] == 3.0 and listed[5, 0] is None
     changed = {(entry.server, entry.replacements): entry.lifecycle for entry in merged(versions)}
+    kinds = [kind.name for kind in quick.servers.kinds]
+    writer = InstanceWriter(build_layout(quick, 1), ADDRESSES, kinds, lambda at_s: int(at_s * 1000))
+    encoder = RegionEncoder(versions, 240, writer)
+    listing: Listing = msgspec.json.decode(encoder.whole_list(4), type=Listing)
+    assert (listing.generation, listing.reset, len(listing.instances)) == (4, True, 240)
+    assert {row.instance_id for row in listing.instances} >= {"s-00003-1", "s-00004-0"}
+    news: Listing = msgspec.json.decode(encoder.changes(3, 4), type=Listing)
+    assert (news.generation, news.reset) == (4, False)
+    assert [(row.instance_id, row.started_at_ms) for row in news.instances] == [
+        ("s-00003-1", 3000),
+        ("s-00004-0", 3000),
+    ]
     assert changed[3, 0] is Lifecycle.LEFT and changed[3, 1] is changed[4, 0] is Lifecycle.ACTIVE
 
 
+def test_a_start_is_told_with_one_time_however_often() -> None:
+    clock = Clock(time.monotonic_ns())
+    told = {clock.unix_ms(1.5) for _ in range(20_000)}
+    assert len(told) == 1 and abs(told.pop() - time.time() * 1e3 - 1500) < 1000
+
+
 def test_a_send_counts_as_too_late_only_once_the_grace_after_the_telling_is_over(quick: Scenario) -> None:
     told = ToldLifecycles(schedule_for(quick, events.ServersDrained(2.0, (0,))))
     assert not told.should_have_stopped(0, 0, 2.7, 0.35)  # told at 2.5 to 2.62
