Add the fleet emulator's hollow balancers and their worker process

A hollow balancer is the real decision module and the real discovery client with modelled clients and connections; a worker process hosts many of them behind one heap of deadlines and sends their attempts in batches. Events told to the module mirror the real driver's: outcomes, final flags, attempts that cannot be sent, deadlines.

--- /dev/null
+++ b/emulator/fleet/client_model.py
@@ -0,0 +1,158 @@
+"""What clients ask for, how long they wait and when they try again; no I/O and no clock of its own."""
+
+from __future__ import annotations
+
+from bisect import bisect
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import accumulate
+from math import log, sqrt
+from random import Random
+
+from emulator.fleet.layout import Layout
+from emulator.fleet.scenario import RequestClass, Scenario
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000_000_000
+LEAST_WORK_US = 50
+
+
+class TryEnd(StrEnum):
+    """How one try ended for its client."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"  # the balancer died or could not be reached
+    NO_ANSWER = "no_answer"
+
+
+class RequestEnd(StrEnum):
+    """How a request ended over all its tries."""
+
+    IN_TIME = "in_time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    NO_ANSWER = "no_answer"
+    LEFT = "left"  # the client went away
+
+
+_ENDS_WITHOUT_ANSWER = {
+    TryEnd.REFUSED: RequestEnd.REFUSED,
+    TryEnd.FAILED: RequestEnd.FAILED,
+    TryEnd.BROKEN: RequestEnd.FAILED,
+    TryEnd.NO_ANSWER: RequestEnd.NO_ANSWER,
+}
+
+
+@dataclass(slots=True, eq=False)
+class ClientRequest:
+    """What a client wants, over all its tries."""
+
+    number: int
+    balancer: int  # that its first try goes to
+    class_number: int
+    tenant: int
+    work_us: int
+    began: int
+    honours_retry_after: bool
+    leaves_after_ns: int  # of its first try; 0: stays
+
+
+@dataclass(slots=True, eq=False)
+class ClientTry:
+    """One try of a request."""
+
+    request: ClientRequest
+    number: int  # 0 for the first
+    sent: int
+    patience_ns: int
+
+    @property
+    def marked_retry(self) -> bool:
+        """Whether the balancer is told that it is a retry."""
+        return self.number > 0
+
+
+class ClientModel:
+    """Draws requests and decides on retries, for the clients of one process."""
+
+    def __init__(self, scenario: Scenario, layout: Layout, seed: str) -> None:
+        self.classes = scenario.classes
+        self._clients = scenario.clients
+        self._random = Random(seed)
+        self._class_bounds = list(accumulate(klass.share for klass in scenario.classes))[:-1]
+        self._tenant_bounds = list(accumulate(layout.tenant_shares))[:-1]
+        self._work = [_lognormal(klass) for klass in scenario.classes]
+        self._drawn = 0
+
+    def gap_ns(self, requests_per_s: float) -> int:
+        """Time from one arrival to the next, Poisson."""
+        return int(self._random.expovariate(requests_per_s) * NS_PER_S)
+
+    def first_try(self, balancer: int, now: int) -> ClientTry:
+        """A new request that begins now."""
+        self._drawn += 1
+        class_number = bisect(self._class_bounds, self._random.random())
+        patience = self._patience_ns(class_number)
+        mu, sigma = self._work[class_number]
+        leaves = self._random.random() < self._clients.leaving_share
+        request = ClientRequest(
+            number=self._drawn,
+            balancer=balancer,
+            class_number=class_number,
+            tenant=bisect(self._tenant_bounds, self._random.random()),
+            work_us=max(LEAST_WORK_US, int(self._random.lognormvariate(mu, sigma) * 1000)),
+            began=now,
+            honours_retry_after=self._random.random() < self._clients.honour_retry_after,
+            leaves_after_ns=1 + int(self._random.random() * patience) if leaves else 0,
+        )
+        return ClientTry(request, 0, now, patience)
+
+    def next_try(self, now: int, last: ClientTry, end: TryEnd, retry_after_ns: int) -> ClientTry | None:
+        """The try that follows one that was not served; None if the client gives up."""
+        request = last.request
+        if last.number >= self._clients.retries or not self._may_repeat(request, end):
+            return None
+        pause = int(self._clients.backoff_ms * NS_PER_MS * (0.5 + self._random.random()))
+        if request.honours_retry_after:
+            pause = max(pause, retry_after_ns)
+        left = request.began + self._deadline_ns(request.class_number) - now - pause
+        if left < NS_PER_MS:
+            return None
+        patience = min(left, self._patience_ns(request.class_number))
+        return ClientTry(request, last.number + 1, now + pause, patience)
+
+    def end_of_request(self, now: int, last: ClientTry, end: TryEnd) -> RequestEnd:
+        """How the request ended, after its last try."""
+        if end is not TryEnd.SERVED:
+            return _ENDS_WITHOUT_ANSWER[end]
+        klass, took = self.classes[last.request.class_number], now - last.request.began
+        if took <= klass.aim_ms * NS_PER_MS:
+            return RequestEnd.IN_TIME
+        return RequestEnd.LATE if took <= klass.deadline_ms * NS_PER_MS else RequestEnd.NO_ANSWER
+
+    def _may_repeat(self, request: ClientRequest, end: TryEnd) -> bool:
+        klass = self.classes[request.class_number]
+        repeatable = klass.idempotency == "safe" or (klass.idempotency == "keyed" and klass.scope == "all")
+        return repeatable or end is TryEnd.REFUSED
+
+    def _deadline_ns(self, class_number: int) -> int:
+        return int(self.classes[class_number].deadline_ms * NS_PER_MS)
+
+    def _patience_ns(self, class_number: int) -> int:
+        return int(self._deadline_ns(class_number) * self._clients.try_share)
+
+
+def _lognormal(klass: RequestClass) -> tuple[float, float]:
+    """Parameters of the lognormal law with the class's mean and variation, in milliseconds."""
+    variance = log(1 + klass.work_cv**2)
+    return log(klass.work_ms) - variance / 2, sqrt(variance)
+
+
+def requests_per_s_of(scenario: Scenario, layout: Layout, balancer: int) -> float:
+    """Mean rate of one balancer: its zone's share of the traffic, dealt out evenly within the zone."""
+    zone = layout.balancer_zones[balancer]
+    share = scenario.zones()[zone].traffic_share
+    return scenario.requests_per_s * share / layout.balancer_zones.count(zone)
--- /dev/null
+++ b/emulator/fleet/hollow_discovery.py
@@ -0,0 +1,103 @@
+"""The real discovery client of one hollow balancer: the only module that knows the client's constructors."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from dykeshift.interface import ListKind, ServerEntry
+from dykeshift.node.discovery import Discovery, Reader
+from dykeshift.node.driver import Listed
+from emulator.fleet.contract import Address
+
+NO_STAND_IN = -1  # number of an entry that has no address, as it is gone
+LOOPBACK_ROW = 254  # members that share the third byte of their addresses
+
+
+@dataclass(frozen=True, slots=True)
+class ListedStandIn:
+    """One entry of a list, with the number of the stand-in that it names."""
+
+    entry: ServerEntry
+    number: int
+
+
+def server_number(host: str) -> int:
+    """Number of the stand-in at a loopback address; the inverse of `contract.loopback`."""
+    _, _, high, low = host.split(".")
+    return int(high) * LOOPBACK_ROW + int(low) - 1
+
+
+ApplyList = Callable[[int, ListKind, list[ListedStandIn]], None]
+DiscoveryFailed = Callable[[int, ListKind], None]
+
+
+def _number_of(listed: Listed) -> int:
+    host, _ = listed.address
+    return server_number(host) if host else NO_STAND_IN
+
+
+class _StoppableDiscovery(Discovery):
+    """The real client, but for its end: a balancer that has died does not begin to watch again."""
+
+    stopped = False
+
+    def watch(self) -> None:
+        if not self.stopped:
+            super().watch()
+
+    def stop(self) -> None:
+        """Hang up and stay silent."""
+        self.stopped = True
+        if self.task is not None:
+            self.task.cancel()
+
+
+class DiscoveryClient:
+    """Watches one agent and hands its lists to a hollow balancer."""
+
+    def __init__(
+        self,
+        agent: Address,
+        zones: tuple[str, ...],
+        kinds: tuple[str, ...],
+        pushed: bool,
+        drain_grace_s: float,
+        apply_list: ApplyList,
+        failed: DiscoveryFailed,
+    ) -> None:
+        self._apply_list = apply_list
+        self._failed = failed
+        self._client = _StoppableDiscovery(
+            asyncio.get_running_loop(),
+            (agent.host, agent.port),
+            Reader(zones, kinds),
+            self._applied,
+            self._call_failed,
+            pushed,
+            drain_grace_s,
+        )
+
+    def watch(self) -> None:
+        """Begin a watch, unless one is on."""
+        self._client.watch()
+
+    async def first_call(self) -> None:
+        """Wait for the end of the first call, be it with nothing."""
+        await self._client.asked.wait()
+
+    def stop(self) -> None:
+        """End the watch for good."""
+        self._client.stop()
+
+    def _applied(self, kind: ListKind, listed: list[Listed]) -> bool:
+        if not self._client.stopped:
+            named = [ListedStandIn(one.entry, _number_of(one)) for one in listed]
+            self._apply_list(time.monotonic_ns(), kind, named)
+        return True
+
+    def _call_failed(self, kind: ListKind) -> None:
+        if not self._client.stopped:
+            self._failed(time.monotonic_ns(), kind)
--- /dev/null
+++ b/emulator/fleet/hollow_host.py
@@ -0,0 +1,190 @@
+"""The place of one hollow balancer in a worker: its starts and ends, its clients and its network."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Protocol
+
+from dykeshift.interface import ListKind, Settings
+from emulator.fleet.client_model import NS_PER_S, ClientModel, ClientTry, RequestEnd, TryEnd
+from emulator.fleet.contract import Address
+from emulator.fleet.hollow_deadlines import Deadlines
+from emulator.fleet.hollow import HollowAttempt, HollowBalancer, HollowCounts
+from emulator.fleet.hollow_discovery import DiscoveryClient, ListedStandIn
+from emulator.fleet.hollow_measuring import HollowMeter
+from emulator.fleet.hollow_shards import ShardLinks
+from emulator.fleet.tenant_quota import TokenBucket
+
+READY_TIMEOUT_S = 30.0
+
+
+class HostConfig(Protocol):
+    """What all hosts of a worker have in common."""
+
+    deadlines: Deadlines
+    links: ShardLinks
+    model: ClientModel
+    meter: HollowMeter
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    drain_grace_s: float
+    answer_slack_ns: int
+    tenant_quotas: list[float]  # one balancer's part, of the tenants that are followed
+
+    def another_host(self) -> HollowHost | None:
+        """A host that is up, for a client that tries again."""
+
+
+class HollowHost:
+    """Carries out what its balancer decides, and plays its clients."""
+
+    def __init__(
+        self,
+        shared: HostConfig,
+        number: int,
+        zone: int,
+        agent: Address,
+        settings: Settings,
+        requests_per_s: float,
+        random: Random,
+    ) -> None:
+        self.shared = shared
+        self.number = number
+        self.zone = zone
+        self.balancer: HollowBalancer | None = None
+        self._agent = agent
+        self._settings = settings
+        self._requests_per_s = requests_per_s
+        self._random = random
+        self._discovery: DiscoveryClient | None = None
+        self._quotas = [TokenBucket(quota, 0.0) for quota in shared.tenant_quotas]
+        self._next_arrival = 0
+
+    @property
+    def up(self) -> bool:
+        """Whether clients reach it."""
+        return self.balancer is not None
+
+    # ---- start and end ----
+
+    async def start(self) -> None:
+        """Start a new balancer from nothing; it is up once discovery has been asked."""
+        balancer = HollowBalancer(self._settings, self._random.getrandbits(63), self)
+        discovery = self._discovery = DiscoveryClient(
+            self._agent,
+            self.shared.zones,
+            self.shared.kinds,
+            not self._settings.ask_discovery,
+            self.shared.drain_grace_s,
+            partial(self._list_came, balancer),
+            balancer.discovery_failed,
+        )
+        balancer.start(time.monotonic_ns())
+        discovery.watch()
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                await discovery.first_call()
+        finally:
+            if self._discovery is discovery:
+                self.balancer = balancer
+            else:
+                balancer.stop(time.monotonic_ns())
+
+    @staticmethod
+    def _list_came(balancer: HollowBalancer, now: int, kind: ListKind, listed: list[ListedStandIn]) -> None:
+        balancer.apply_list(now, kind, listed)
+
+    def stop(self, now: int) -> HollowCounts:
+        """Kill the balancer: its clients lose their connections. What it had counted."""
+        if self._discovery is not None:
+            self._discovery.stop()
+            self._discovery = None
+        balancer, self.balancer = self.balancer, None
+        if balancer is None:
+            return HollowCounts()
+        for client_try in balancer.stop(now):
+            self._try_ended(now, client_try, TryEnd.BROKEN, 0)
+        return balancer.counts
+
+    # ---- clients ----
+
+    def begin_arrivals(self, at: int) -> None:
+        """Let clients come from then on."""
+        if self._requests_per_s:
+            self._next_arrival = at + self.shared.model.gap_ns(self._requests_per_s)
+            self.shared.deadlines.add(self._next_arrival, self._arrive)
+
+    def _arrive(self, now: int) -> None:
+        due = self._next_arrival
+        client_try = self.shared.model.first_try(self.number, due)
+        tenant = client_try.request.tenant
+        self.shared.meter.arrived(now - due)
+        if tenant < len(self._quotas):
+            within_quota = self._quotas[tenant].take(due / NS_PER_S) > 0
+            self.shared.meter.count_tenant(tenant, within_quota)
+        self._submit(now, client_try)
+        self._next_arrival = due + self.shared.model.gap_ns(self._requests_per_s)
+        self.shared.deadlines.add(self._next_arrival, self._arrive)
+
+    def try_again(self, client_try: ClientTry, now: int) -> None:
+        """A client comes from another balancer, or again."""
+        self._submit(now, client_try)
+
+    def _submit(self, now: int, client_try: ClientTry) -> None:
+        self.shared.meter.counts.tries += 1
+        if self.balancer is None:
+            self._try_ended(now, client_try, TryEnd.BROKEN, 0)
+            return
+        name = self.balancer.submit(now, client_try)
+        leaves = client_try.request.leaves_after_ns
+        if leaves and client_try.number == 0:
+            leave = partial(self._leave, self.balancer, name)
+            self.shared.deadlines.add(client_try.sent + leaves, leave)
+
+    def _leave(self, balancer: HollowBalancer, name: str, now: int) -> None:
+        if balancer.client_gone(now, name):
+            self.shared.meter.counts.count_end(RequestEnd.LEFT)
+
+    def _try_ended(self, now: int, client_try: ClientTry, end: TryEnd, retry_after_ns: int) -> None:
+        self.shared.meter.counts.count_try_end(end)
+        again = None
+        if end is not TryEnd.SERVED:
+            again = self.shared.model.next_try(now, client_try, end, retry_after_ns)
+        if again is None:
+            end_of_request = self.shared.model.end_of_request(now, client_try, end)
+            self.shared.meter.counts.count_end(end_of_request)
+            return
+        host = self.shared.another_host() or self
+        self.shared.deadlines.add(again.sent, partial(host.try_again, again))
+
+    # ---- effects of the balancer ----
+
+    def send(self, attempt: HollowAttempt, work_us: int, wait_us: int) -> None:
+        """Send it."""
+        self.shared.links.of(attempt).send(attempt, self.number, work_us, wait_us)
+
+    def withdraw(self, attempt: HollowAttempt) -> None:
+        """Give it up."""
+        self.shared.links.of(attempt).withdraw(attempt)
+
+    def add_deadline(self, at: int, callback: Callable[[int], None]) -> None:
+        """Call back at that time."""
+        self.shared.deadlines.add(at, callback)
+
+    def watch(self) -> None:
+        """Begin to watch discovery."""
+        if self._discovery is not None:
+            self._discovery.watch()
+
+    def answered(self, now: int, client_try: ClientTry, end: TryEnd, own_us: int, retry_after: int) -> None:
+        """The client has its final answer, unless it has given up before."""
+        given_up = now > client_try.sent + client_try.patience_ns + self.shared.answer_slack_ns
+        if given_up:
+            end = TryEnd.NO_ANSWER
+        elif end is TryEnd.SERVED:
+            self.shared.meter.served((now - client_try.sent) // 1000 - own_us)
+        self._try_ended(now, client_try, end, retry_after)
--- /dev/null
+++ b/emulator/fleet/hollow_measuring.py
@@ -0,0 +1,76 @@
+"""Counts of one hollow worker between two measures."""
+
+from __future__ import annotations
+
+from emulator.fleet.hollow import HollowCounts
+from emulator.fleet.latency import LatencyRecorder
+from emulator.fleet.measures import HollowMeasure, RequestCounts
+
+
+class HollowMeter:
+    """Counts what happens in a worker and gives it out once a second."""
+
+    def __init__(self, tenants: int) -> None:
+        self.counts = RequestCounts()
+        self.hollow = HollowCounts()  # of balancers that have ended
+        self._tenants = tenants
+        self._added = LatencyRecorder()
+        self._lag = LatencyRecorder()
+        self._tenant_asked = [0] * tenants
+        self._tenant_within = [0] * tenants
+        self._ready_ms: list[float] = []
+        self._ready_wait_ms: list[float] = []
+        self._bytes_moved = (0, 0)
+
+    def arrived(self, lag_ns: int) -> None:
+        """A first try has been taken, so much later than it was due."""
+        self.counts.asked += 1
+        self._lag.record_us(lag_ns // 1000)
+
+    def count_tenant(self, tenant: int, within_quota: bool) -> None:
+        """It was one of a tenant that is followed."""
+        self._tenant_asked[tenant] += 1
+        self._tenant_within[tenant] += within_quota
+
+    def served(self, added_us: int) -> None:
+        """A try was served, with so much added to the server's and the network's time."""
+        self._added.record_us(added_us)
+
+    def became_ready(self, took_ms: float, waited_ms: float) -> None:
+        """A balancer is up."""
+        self._ready_ms.append(round(took_ms, 1))
+        self._ready_wait_ms.append(round(waited_ms, 1))
+
+    def take(
+        self, at_s: float, index: int, balancers: int, open_tries: int, bytes_moved: tuple[int, int]
+    ) -> HollowMeasure:
+        """The measure since the last one."""
+        counts, self.counts = self.counts, RequestCounts()
+        hollow, self.hollow = self.hollow, HollowCounts()
+        asked, self._tenant_asked = self._tenant_asked, [0] * self._tenants
+        within, self._tenant_within = self._tenant_within, [0] * self._tenants
+        ready, self._ready_ms = self._ready_ms, []
+        waits, self._ready_wait_ms = self._ready_wait_ms, []
+        sent_before, received_before = self._bytes_moved
+        self._bytes_moved = bytes_moved
+        return HollowMeasure(
+            at_s=at_s,
+            index=index,
+            balancers=balancers,
+            requests=counts,
+            attempts=hollow.attempts,
+            cancels=hollow.cancels,
+            not_sent=hollow.not_sent,
+            log_bytes=hollow.log_bytes,
+            decision_calls=hollow.calls,
+            decision_us=hollow.decision_ns // 1000,
+            open_tries=open_tries,
+            added=self._added.take(),
+            lag=self._lag.take(),
+            tenant_asked=asked,
+            tenant_within_split=within,
+            ready_ms=ready,
+            ready_wait_ms=waits,
+            bytes_sent=bytes_moved[0] - sent_before,
+            bytes_received=bytes_moved[1] - received_before,
+        )
--- /dev/null
+++ b/emulator/fleet/hollow_worker.py
@@ -0,0 +1,177 @@
+"""Process that hosts a share of the hollow balancers: `python -m emulator.fleet.hollow_worker`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import time
+from collections.abc import Coroutine
+from dataclasses import replace
+from random import Random
+
+from dykeshift.interface import LoadReport, Outcome, Settings
+from dykeshift.settings import parse_settings
+from emulator.fleet.client_model import NS_PER_S, ClientModel, requests_per_s_of
+from emulator.fleet.contract import Result
+from emulator.fleet.hollow_deadlines import Deadlines
+from emulator.fleet.hollow import HollowAttempt
+from emulator.fleet.hollow_host import HollowHost
+from emulator.fleet.hollow_measuring import HollowMeter
+from emulator.fleet.hollow_shards import ShardLinks
+from emulator.fleet.process import Clock, Fleet, run_child, say
+from emulator.fleet.scenario import Scenario
+from emulator.fleet.settings_for_balancers import settings_object
+from emulator.fleet.tenant_quota import TENANTS_FOLLOWED, followed_tenants
+from emulator.fleet.timeline import (
+    BalancersStarted,
+    BalancersStopped,
+    Event,
+)
+
+ROLE = "hollow"
+FLUSH_S = 0.002  # between two flushes of the batches
+DUE_AT_ONCE = 500  # deadlines that are run before the sockets are looked at again
+STARTS_AT_ONCE = 1  # balancers of this process that start at a time: they share its core
+GC_THRESHOLDS = 200_000, 20, 100  # whole collections walk the lists of all balancers of the process
+
+
+class HollowWorker:
+    """All hollow balancers of one process."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        config, scenario, layout = fleet.config, fleet.scenario, fleet.layout
+        wire = settings_object(scenario, layout, 0)
+        settings = parse_settings(wire)
+        self.config = config
+        self.deadlines = Deadlines()
+        self.links = ShardLinks(self._result_came)
+        self.model = ClientModel(scenario, layout, f"{config.seed}/hollow clients {config.index}")
+        self.meter = HollowMeter(followed_tenants(scenario))
+        self.zones = layout.zone_names
+        self.kinds = tuple(kind.name for kind in scenario.servers.kinds)
+        self._layout = layout
+        self._reports_in_answers = wire["report"]["how"] == "piggyback"
+        self.drain_grace_s = wire["obligations"]["drainGraceNs"] / NS_PER_S
+        self.answer_slack_ns = int(wire["obligations"]["answerSlackNs"])
+        self.tenant_quotas = _split_quotas(settings, scenario)
+        self._random = Random(f"{config.seed}/hollow worker {config.index}")
+        self._starts = asyncio.Semaphore(STARTS_AT_ONCE)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.hosts = {
+            number: HollowHost(
+                self,
+                number,
+                layout.balancer_zones[number],
+                config.addresses.agent(number),
+                replace(settings, me=number, zone=layout.balancer_zones[number]),
+                requests_per_s_of(scenario, layout, number),
+                Random(f"{config.seed}/hollow balancer {number}"),
+            )
+            for number in range(scenario.balancers.real, scenario.balancers.total)
+            if number % config.processes == config.index
+        }
+        self._hosts = list(self.hosts.values())
+
+    def another_host(self) -> HollowHost | None:
+        """A host that is up, for a client that tries again."""
+        for _ in self._hosts:
+            host = self._hosts[int(self._random.random() * len(self._hosts))]
+            if host.up:
+                return host
+        return None
+
+    # ---- the life of the process ----
+
+    async def listen(self) -> None:
+        """Connect to the photo servers and start all balancers."""
+        gc.set_threshold(*GC_THRESHOLDS)
+        await self.links.connect(self.config.addresses.shard_ports)
+        self._run_task(self._tick())
+        for host in self._hosts:
+            await self._start(host)
+
+    def start(self, clock: Clock) -> None:
+        """Let clients come."""
+        start_ns = time.monotonic_ns() - int(clock.now_s() * NS_PER_S)
+        for host in self._hosts:
+            host.begin_arrivals(start_ns)
+
+    def finish(self) -> None:
+        """End all balancers."""
+        for task in list(self._tasks):
+            task.cancel()
+        for host in self._hosts:
+            host.stop(time.monotonic_ns())
+        self.links.close()
+
+    async def _tick(self) -> None:
+        while True:
+            busy = self.deadlines.run_due(time.monotonic_ns, DUE_AT_ONCE) == DUE_AT_ONCE
+            self.links.flush()
+            await asyncio.sleep(0 if busy else FLUSH_S)
+
+    def _run_task(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # ---- events ----
+
+    def apply(self, event: Event) -> None:
+        """Play this process's part of an event."""
+        now = time.monotonic_ns()
+        match event:
+            case BalancersStopped():
+                for host in self._own(event.balancers):
+                    self.meter.hollow.add(host.stop(now))
+            case BalancersStarted():
+                for host in self._own(event.balancers):
+                    self._run_task(self._start(host))
+
+    def _own(self, balancers: tuple[int, ...]) -> list[HollowHost]:
+        return [self.hosts[number] for number in balancers if number in self.hosts]
+
+    async def _start(self, host: HollowHost) -> None:
+        asked_for = time.monotonic()
+        async with self._starts:
+            began = time.monotonic()
+            await host.start()
+            ended = time.monotonic()
+        self.meter.became_ready((ended - began) * 1e3, (began - asked_for) * 1e3)
+
+    def _result_came(self, attempt: HollowAttempt, result: Result) -> None:
+        report = None
+        if self._reports_in_answers:
+            report = LoadReport(in_flight=result.in_flight, service_ms=result.service_us / 1e3)
+        host = attempt.balancer.effects
+        assert isinstance(host, HollowHost)
+        own_us = self._own_time_us(host.zone, attempt)
+        attempt.balancer.attempt_ended(time.monotonic_ns(), attempt, Outcome[result.outcome], report, own_us)
+
+    def _own_time_us(self, zone: int, attempt: HollowAttempt) -> int:
+        """What the attempt takes on an idle, warm server: its work, and the way there and back."""
+        place = self._layout.servers[attempt.server]
+        work_us = attempt.open_try.client_try.request.work_us
+        return int(work_us / place.speed + 2e6 * self._layout.delays_s[zone][place.zone])
+
+    # ---- measures ----
+
+    def measure(self, at_s: float) -> None:
+        """Print what happened since the last call."""
+        running = [host.balancer for host in self._hosts if host.balancer is not None]
+        for balancer in running:
+            self.meter.hollow.add(balancer.take_counts())
+        open_tries = sum(balancer.open_tries for balancer in running)
+        moved = self.links.bytes_moved()
+        say(self.meter.take(at_s, self.config.index, len(running), open_tries, moved))
+
+
+def _split_quotas(settings: Settings, scenario: Scenario) -> list[float]:
+    """Each balancer's equal part of the quotas of the tenants that are followed, by rank; 0 where none."""
+    quotas = [share / scenario.balancers.total for share in settings.shares[:TENANTS_FOLLOWED]]
+    return quotas + [0.0] * (followed_tenants(scenario) - len(quotas))
+
+
+if __name__ == "__main__":
+    sys.exit(run_child(ROLE, HollowWorker))
