Add the fleet emulator's real balancer processes and their HTTP clients

Hollow balancers show no cost of sockets. Some numbers of the fleet are real processes, asked by clients over HTTP; a stand-in's answer now tells how long it held the request, so that what the balancer added to it can be measured.

--- /dev/null
+++ b/emulator/fleet/clients.py
@@ -0,0 +1,240 @@
+"""Process with the HTTP clients of the real balancers: `python -m emulator.fleet.clients`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections.abc import Coroutine
+from functools import partial
+from random import Random
+
+import msgspec
+
+from emulator.fleet.client_model import (
+    NS_PER_MS,
+    NS_PER_S,
+    ClientModel,
+    ClientTry,
+    RequestEnd,
+    TryEnd,
+    requests_per_s_of,
+)
+from emulator.fleet.contract import request_target
+from emulator.fleet.hollow_deadlines import Deadlines
+from emulator.fleet.http_client import ConnectionPool, HttpAnswer, HttpConnection
+from emulator.fleet.latency import LatencyRecorder
+from emulator.fleet.measures import ClientMeasure, RequestCounts
+from emulator.fleet.process import Clock, Fleet, run_child, say
+from emulator.fleet.settings_for_balancers import tenant_name
+from emulator.fleet.timeline import Event
+
+ROLE = "clients"
+TICK_S = 0.001
+DUE_AT_ONCE = 200
+ANSWER_GRACE_NS = 20 * NS_PER_MS  # a client gives up so long after its deadline
+REFUSALS = (429, 503)
+
+
+class ServerBody(msgspec.Struct):
+    """Body of a stand-in photo server's 200 answer."""
+
+    served: str  # the request's id
+    held_us: int  # from the request's last byte to the answer, the network's delays included
+
+
+class OpenTry:
+    """One try that has no answer yet."""
+
+    __slots__ = ("begun", "client_try", "connection", "over")
+
+    def __init__(self, client_try: ClientTry, begun: int) -> None:
+        self.client_try = client_try
+        self.begun = begun  # when this process came to it, which is no delay of the balancer's
+        self.connection: HttpConnection | None = None
+        self.over = False
+
+
+class Clients:
+    """All clients of the real balancers."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        config, scenario, layout = fleet.config, fleet.scenario, fleet.layout
+        balancers = scenario.balancers.real
+        self.config = config
+        self.scenario = scenario
+        self.deadlines = Deadlines()
+        self.model = ClientModel(scenario, layout, f"{config.seed}/clients")
+        self._random = Random(f"{config.seed}/choice of balancer")
+        self._rates = [requests_per_s_of(scenario, layout, number) for number in range(balancers)]
+        self._pools = [ConnectionPool(config.addresses.balancer(number)) for number in range(balancers)]
+        self._open: set[OpenTry] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._counts = RequestCounts()
+        self._added, self._lag = LatencyRecorder(), LatencyRecorder()
+        self._unsound = 0
+
+    # ---- the life of the process ----
+
+    async def listen(self) -> None:
+        """Nothing connects to the clients."""
+
+    def start(self, clock: Clock) -> None:
+        """Begin to ask."""
+        start_ns = time.monotonic_ns() - int(clock.now_s() * NS_PER_S)
+        for number, rate in enumerate(self._rates):
+            if rate:
+                self._plan_arrival(number, start_ns)
+        self._run_task(self._tick())
+
+    def apply(self, event: Event) -> None:
+        """Clients learn of nothing but what they are answered."""
+
+    def finish(self) -> None:
+        """Hang up."""
+        for task in list(self._tasks):
+            task.cancel()
+        for pool in self._pools:
+            pool.close()
+
+    def _run_task(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick(self) -> None:
+        while True:
+            busy = self.deadlines.run_due(time.monotonic_ns, DUE_AT_ONCE) == DUE_AT_ONCE
+            await asyncio.sleep(0 if busy else TICK_S)
+
+    # ---- tries ----
+
+    def _plan_arrival(self, balancer: int, after: int) -> None:
+        due = after + self.model.gap_ns(self._rates[balancer])
+        self.deadlines.add(due, partial(self._arrive, balancer, due))
+
+    def _arrive(self, balancer: int, due: int, now: int) -> None:
+        self._counts.asked += 1
+        self._lag.record_us((now - due) // 1000)
+        self._begin(balancer, self.model.first_try(balancer, due), now)
+        self._plan_arrival(balancer, due)
+
+    def _begin(self, balancer: int, client_try: ClientTry, now: int) -> None:
+        self._counts.tries += 1
+        one = OpenTry(client_try, now)
+        self._open.add(one)
+        given_up = client_try.sent + client_try.patience_ns + ANSWER_GRACE_NS
+        self.deadlines.add(given_up, partial(self._expire, one))
+        if client_try.request.leaves_after_ns and client_try.number == 0:
+            self.deadlines.add(
+                client_try.sent + client_try.request.leaves_after_ns, partial(self._leave, one)
+            )
+        self._run_task(self._send(balancer, one))
+
+    async def _send(self, balancer: int, one: OpenTry) -> None:
+        try:
+            connection = await self._pools[balancer].take()
+        except OSError:
+            self._end(one, TryEnd.BROKEN, 0)
+            return
+        if one.over:
+            connection.close()
+            return
+        one.connection = connection
+        connection.request(self._message(one.client_try, balancer), partial(self._answered, one))
+
+    def _message(self, client_try: ClientTry, balancer: int) -> bytes:
+        request, klass = client_try.request, self.scenario.classes[client_try.request.class_number]
+        method = "GET" if klass.idempotency == "safe" else "POST"
+        headers = [
+            f"{method} {request_target(request.work_us, balancer)} HTTP/1.1",
+            "Host: backend.local",
+            f"X-Request-Id: {_request_id(client_try)}",
+            f"X-Class: {klass.name}",
+            f"X-Tenant: {tenant_name(request.tenant)}",
+            f"X-Deadline-Ms: {client_try.patience_ns // NS_PER_MS}",
+        ]
+        if client_try.marked_retry:
+            headers.append("X-Retry: 1")
+        if klass.idempotency == "keyed":
+            headers.append(f"Idempotency-Key: key-{request.number}")
+        if method == "POST":
+            headers.append("Content-Length: 0")
+        return "\r\n".join([*headers, "", ""]).encode()
+
+    def _answered(self, one: OpenTry, answer: HttpAnswer | None) -> None:
+        if answer is None:
+            self._end(one, TryEnd.BROKEN, 0)
+        elif answer.status == 200:
+            self._served(one, answer.body)
+        elif answer.status in REFUSALS:
+            self._end(one, TryEnd.REFUSED, int(answer.retry_after_s * NS_PER_S))
+        else:
+            self._end(one, TryEnd.FAILED, 0)
+
+    def _served(self, one: OpenTry, body: bytes) -> None:
+        now = time.monotonic_ns()
+        try:
+            made: ServerBody = msgspec.json.decode(body, type=ServerBody)
+        except msgspec.DecodeError:
+            self._unsound += 1
+        else:
+            self._unsound += made.served != _request_id(one.client_try)
+            self._added.record_us((now - one.begun) // 1000 - made.held_us)
+        self._end(one, TryEnd.SERVED, 0)
+
+    def _expire(self, one: OpenTry, now: int) -> None:
+        if not one.over:
+            if one.connection is not None:
+                one.connection.abandon()
+            self._end(one, TryEnd.NO_ANSWER, 0)
+
+    def _leave(self, one: OpenTry, now: int) -> None:
+        if not one.over:
+            one.over = True
+            self._open.discard(one)
+            if one.connection is not None:
+                one.connection.abandon()
+            self._counts.count_end(RequestEnd.LEFT)
+
+    def _end(self, one: OpenTry, end: TryEnd, retry_after_ns: int) -> None:
+        if one.over:
+            return
+        one.over = True
+        self._open.discard(one)
+        self._counts.count_try_end(end)
+        now = time.monotonic_ns()
+        again = None
+        if end is not TryEnd.SERVED:
+            again = self.model.next_try(now, one.client_try, end, retry_after_ns)
+        if again is None:
+            self._counts.count_end(self.model.end_of_request(now, one.client_try, end))
+        else:
+            balancer = self._random.randrange(len(self._pools))
+            self.deadlines.add(again.sent, partial(self._begin, balancer, again))
+
+    # ---- measures ----
+
+    def measure(self, at_s: float) -> None:
+        """Print what happened since the last call."""
+        counts, self._counts = self._counts, RequestCounts()
+        unsound, self._unsound = self._unsound, 0
+        measure = ClientMeasure(
+            at_s=at_s,
+            index=self.config.index,
+            requests=counts,
+            open_requests=len(self._open),
+            connections=len(self._open) + sum(pool.idle_connections() for pool in self._pools),
+            added=self._added.take(),
+            lag=self._lag.take(),
+            unsound_answers=unsound,
+        )
+        say(measure)
+
+
+def _request_id(client_try: ClientTry) -> str:
+    return f"r{client_try.request.number}-{client_try.number}"
+
+
+if __name__ == "__main__":
+    sys.exit(run_child(ROLE, Clients))
--- a/emulator/fleet/photo_server_http.py
+++ b/emulator/fleet/photo_server_http.py
@@ -190,7 +190,9 @@
             self.abort()
 
     def _served(self, attempt: Attempted) -> bytes:
-        body = b'{"served":"%s","server":%d}' % (self._headers[b"x-request-id"], attempt.server)
+        held_us = int((self._context.now_s() - attempt.sent_s) * 1e6)
+        request_id = self._headers[b"x-request-id"]
+        body = b'{"served":"%s","server":%d,"held_us":%d}' % (request_id, attempt.server, held_us)
         in_flight, service_ms = REPORT_FIELDS
         report = f'{{"{in_flight}":{attempt.in_flight},"{service_ms}":{attempt.service_s * 1e3:.3f}}}'
         head = (
--- /dev/null
+++ b/emulator/fleet/real_balancers.py
@@ -0,0 +1,141 @@
+"""Real balancer processes of a run: configuration, start, readiness, kill, planned restart and end."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import signal
+import sys
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from emulator.fleet.contract import Address, AddressPlan
+from emulator.fleet.layout import Layout
+from emulator.fleet.process_logs import ProcessLog
+from emulator.fleet.scenario import Scenario
+from emulator.fleet.settings_for_balancers import host_port, node_config
+
+ROLE = "balancer"
+REPOSITORY = Path(__file__).resolve().parents[2]
+READY_TIMEOUT_S = 60.0
+READY_PAUSE_S = 0.05  # between two looks whether one is ready
+END_TIMEOUT_S = 10.0
+PR_SET_PDEATHSIG = 1  # of prctl(2)
+
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+class NotReadyError(Exception):
+    """A balancer did not become ready in time, or ended before."""
+
+
+def _die_with_parent() -> None:
+    """In the child, before it runs: it has no input whose end it would notice."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+async def is_ready(address: Address) -> bool:
+    """Whether `GET /ready` is answered with 200."""
+    try:
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+    except OSError:
+        return False
+    try:
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n")
+        return b" 200 " in await reader.readline()
+    except OSError:
+        return False
+    finally:
+        writer.close()
+
+
+class RealBalancer:
+    """One balancer under its name and address, over all its restarts."""
+
+    def __init__(
+        self, number: int, addresses: AddressPlan, config: Callable[[str], dict[str, Any]], folder: Path
+    ) -> None:
+        self.number = number
+        self.address = addresses.balancer(number)
+        self.log = ProcessLog(folder / f"{ROLE}-{number}.log")
+        self.process: asyncio.subprocess.Process | None = None
+        self.ending = False  # its end is wanted
+        self._agent = addresses.agent(number)
+        self._config = config
+        self._config_path = folder / f"{ROLE}-{number}.json"
+
+    @property
+    def pid(self) -> int | None:
+        """Of the running process."""
+        if self.process is None or self.process.returncode is not None:
+            return None
+        return self.process.pid
+
+    async def start(self, random: Random) -> None:
+        """Start a new process from nothing."""
+        config = self._config(f"{random.getrandbits(64):016x}")
+        self._config_path.write_text(json.dumps(config), encoding="utf-8")
+        environment = os.environ | {
+            "NODE_NAME": f"n{self.number}",
+            "NODE_LISTEN": host_port(self.address),
+            "NODE_DISCOVERY": host_port(self._agent),
+            "NODE_CONFIG": str(self._config_path),
+        }
+        self.ending = False
+        with self.log.open() as log_file:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "dykeshift.node",
+                cwd=REPOSITORY,
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log_file,
+                stderr=log_file,
+                start_new_session=True,
+                preexec_fn=_die_with_parent,
+            )
+
+    async def wait_ready(self) -> None:
+        """Return once it is ready; NotReadyError if it ends or takes too long."""
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not await is_ready(self.address):
+                    if self.pid is None and not self.ending:
+                        raise NotReadyError(f"{ROLE} {self.number} ended before it was ready")
+                    await asyncio.sleep(READY_PAUSE_S)
+        except TimeoutError:
+            message = f"{ROLE} {self.number} was not ready within {READY_TIMEOUT_S:g} s"
+            raise NotReadyError(message) from None
+
+    def stop(self, *, graceful: bool) -> None:
+        """SIGTERM or SIGKILL."""
+        self.ending = True
+        if self.process is not None and self.pid is not None:
+            self.process.send_signal(signal.SIGTERM if graceful else signal.SIGKILL)
+
+    async def ended(self) -> None:
+        """Wait until the process has ended; it is killed if it takes too long."""
+        if self.process is None:
+            return
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.stop(graceful=False)
+            await self.process.wait()
+
+
+def build_real_balancers(
+    scenario: Scenario, layout: Layout, addresses: AddressPlan, folder: Path
+) -> list[RealBalancer]:
+    """The real balancers of a scenario, not yet started; numbers 0 to real - 1."""
+    return [
+        RealBalancer(number, addresses, partial(node_config, scenario, layout, addresses, number), folder)
+        for number in range(scenario.balancers.real)
+    ]
