--- a/emulator/cli.py
+++ b/emulator/cli.py
@@ -7,7 +7,9 @@
 import click
 
 # Command name -> module that defines a click command named `command`.
-COMMAND_MODULES: dict[str, str] = {}
+COMMAND_MODULES: dict[str, str] = {
+    "fleet": "emulator.fleet.command",
+}
 
 
 class LazyGroup(click.Group):
--- /dev/null
+++ b/emulator/fleet/command.py
@@ -0,0 +1,118 @@
+"""The command `fleet`: run a scenario, write its report and hold its figures against the bars."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from datetime import UTC, datetime
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+from emulator.errors import BadInputError, BarFailedError
+from emulator.fleet.quick_scenario import write_quick_scenario
+from emulator.fleet.report import print_summary, write_report
+from emulator.fleet.run_record import DeadChild, RunRecord
+from emulator.fleet.scenario import Scenario, load_scenario
+from emulator.fleet.summary import Summary
+from emulator.fleet.supervisor import Supervisor
+
+OUTPUT_ROOT = Path("emulator-out")
+SCENARIO_FILE = "scenario.toml"
+
+HELP = """Run the fleet of a scenario file on this machine, on loopback alone.
+
+Stand-in discovery, stand-in photo servers, hollow balancers, real balancer processes and their clients
+play the scenario. Measures, events, a summary and plots are written to a folder; Ctrl-C ends the run and
+still writes what it has.
+
+\b
+Examples:
+  python -m emulator fleet emulator/scenarios/target.toml --quick
+  python -m emulator fleet emulator/scenarios/target.toml --seed 7 --out emulator-out/seven
+  python -m emulator fleet emulator/scenarios/target.toml --no-bars
+"""
+
+
+class OneLineCommand(click.Command):
+    """A command whose bad calls are told in one line."""
+
+    def parse_args(self, ctx: click.Context, args: list[str]) -> list[str]:
+        """Arguments as click reads them; BadInputError where it can't."""
+        try:
+            return super().parse_args(ctx, args)
+        except click.UsageError as error:
+            raise BadInputError(f"{error.format_message()} (see --help)") from None
+
+
+@click.command("fleet", cls=OneLineCommand, help=HELP, short_help="Run a whole fleet on loopback.")
+@click.argument("scenario_path", metavar="SCENARIO", type=click.Path(path_type=Path))
+@click.option("--quick", is_flag=True, help="Make the scenario short and small: under a minute.")
+@click.option("--seed", type=click.IntRange(min=0), help="Seed of all events; default: the scenario's.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder for the results; default: emulator-out/<name>-<utc time>.",
+)
+@click.option("--bars/--no-bars", default=True, help="Fail if a figure misses its bar; default: on.")
+def command(scenario_path: Path, quick: bool, seed: int | None, out: Path | None, bars: bool) -> None:
+    """See HELP."""
+    scenario = load_scenario(scenario_path)
+    folder = _make_folder(out, scenario)
+    path = folder / SCENARIO_FILE
+    if quick:
+        scenario = write_quick_scenario(scenario, path)
+    else:
+        shutil.copyfile(scenario_path, path)
+    record = RunRecord(scenario, scenario.seed if seed is None else seed, folder)
+    with _show_progress(scenario) as progress:
+        asyncio.run(Supervisor(path, scenario, record, progress).run())
+    summary = write_report(record)
+    print_summary(summary, Console())
+    click.echo(f"results: {folder}")
+    _judge(record, summary, bars)
+
+
+def _make_folder(out: Path | None, scenario: Scenario) -> Path:
+    folder = out
+    if folder is None:
+        folder = OUTPUT_ROOT / f"{scenario.name}-{datetime.now(UTC):%Y%m%dT%H%M%SZ}"
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        occupied = any(folder.iterdir())
+    except OSError as error:
+        raise BadInputError(f"{folder}: cannot be written to: {error.strerror or error}") from None
+    if occupied:
+        raise BadInputError(f"{folder}: is not empty")
+    return folder
+
+
+@contextmanager
+def _show_progress(scenario: Scenario) -> Iterator[Callable[[str, float], None]]:
+    """A bar on the terminal's error stream; nothing where no person watches."""
+    console = Console(stderr=True)
+    columns = (TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn())
+    with Progress(*columns, console=console, disable=not console.is_terminal) as bar:
+        task = bar.add_task("starting", total=scenario.duration_s)
+        yield lambda phase, elapsed_s: bar.update(task, description=phase, completed=elapsed_s)
+
+
+def _judge(record: RunRecord, summary: Summary, bars: bool) -> None:
+    if record.dead:
+        raise BarFailedError("; ".join(map(_describe_death, record.dead)))
+    if record.interrupted:
+        return  # what was measured until then is no verdict
+    missed = [bar for bar in summary.bars if not bar.holds]
+    if bars and missed:
+        raise BarFailedError("missed: " + "; ".join(bar.name for bar in missed))
+
+
+def _describe_death(dead: DeadChild) -> str:
+    text = dead.name if dead.exit_code is None else f"{dead.name} died with exit code {dead.exit_code}"
+    if dead.last_lines:
+        text += ", its last log lines:\n  " + "\n  ".join(dead.last_lines)
+    return text
--- /dev/null
+++ b/emulator/fleet/quick_scenario.py
@@ -0,0 +1,69 @@
+"""A scenario made short and small, so that a change to the code can be tried in a minute."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from emulator.fleet.scenario import Scenario, load_scenario
+
+QUICK_DURATION_S = 20.0
+QUICK_BALANCERS = 40
+QUICK_REAL_BALANCERS = 4
+QUICK_WORKERS = 2
+QUICK_TENANTS = 500
+LEAST_EVERY_S = 1.0
+
+TIME_KEYS = ("at_s", "duration_s", "every_s", "drain_s", "down_s", "over_s")
+SIZE_KEYS = ("servers", "group")
+
+
+def write_quick_scenario(scenario: Scenario, path: Path) -> Scenario:
+    """Write the reduced scenario as TOML and read it back; BadInputError if it can't be reduced so far."""
+    reduced = _reduce(scenario)
+    path.write_text("".join(f"{key} = {_toml(value)}\n" for key, value in reduced.items()), encoding="utf-8")
+    return load_scenario(path)
+
+
+def _reduce(scenario: Scenario) -> dict[str, Any]:
+    time_factor = min(1.0, QUICK_DURATION_S / scenario.duration_s)
+    size_factor = min(1.0, QUICK_BALANCERS / scenario.balancers.total)
+    reduced: dict[str, Any] = scenario.model_dump(mode="json", exclude_none=True)
+    reduced["duration_s"] *= time_factor
+    reduced["requests_per_s"] *= size_factor
+    reduced["servers"]["count"] = max(1, round(scenario.servers.count * size_factor))
+    balancers = reduced["balancers"]
+    balancers["total"] = round(scenario.balancers.total * size_factor)
+    balancers["real"] = min(scenario.balancers.real, QUICK_REAL_BALANCERS)
+    balancers["hollow_workers"] = min(scenario.balancers.hollow_workers, QUICK_WORKERS)
+    tenants = reduced["tenants"]
+    tenants["count"] = min(scenario.tenants.count, QUICK_TENANTS)
+    if "in_settings" in tenants:
+        tenants["in_settings"] = min(tenants["in_settings"], tenants["count"])
+    for event in reduced["events"]:
+        _reduce_event(event, time_factor, size_factor, balancers["real"])
+    return reduced
+
+
+def _reduce_event(event: dict[str, Any], time_factor: float, size_factor: float, real: int) -> None:
+    for key in TIME_KEYS:
+        if key in event:
+            event[key] *= time_factor
+    for key in SIZE_KEYS:
+        if key in event:
+            event[key] = max(1, round(event[key] * size_factor))
+    if event["kind"] == "list_changes":
+        event["every_s"] = max(LEAST_EVERY_S, event["every_s"])
+    if "count" in event:
+        event["count"] = min(event["count"], real)
+    event.pop("rack", None)  # there are fewer racks: one is drawn
+
+
+def _toml(value: Any) -> str:
+    """A value on one line; strings and numbers are written as in JSON."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {_toml(inner)}" for key, inner in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(_toml, value)) + "]"
+    return json.dumps(value)
--- /dev/null
+++ b/emulator/fleet/run_record.py
@@ -0,0 +1,95 @@
+"""Everything that a run has shown, as it is collected: typed measures in memory and lines on disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from emulator.fleet.measures import ClientMeasure, HollowMeasure, ProcessMeasure
+from emulator.fleet.scenario import Scenario
+from emulator.fleet.timeline import Event, build_timeline
+
+MEASURES_FILE = "measures.jsonl"
+EVENTS_FILE = "events.jsonl"
+OwnMeasure = HollowMeasure | ClientMeasure | ProcessMeasure
+
+
+@dataclass(frozen=True, slots=True)
+class DeadChild:
+    """A process that ended though nobody wanted it to."""
+
+    name: str
+    exit_code: int | None
+    last_lines: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """One run."""
+
+    scenario: Scenario
+    seed: int
+    folder: Path
+    elapsed_s: float = 0.0  # of the scenario
+    starting_s: float = 0.0  # until all were ready
+    interrupted: bool = False
+    dead: list[DeadChild] = field(default_factory=list)
+    real_ready_ms: list[float] = field(default_factory=list)  # restarts of real balancers
+    hollow: list[HollowMeasure] = field(default_factory=list)
+    clients: list[ClientMeasure] = field(default_factory=list)
+    processes: list[ProcessMeasure] = field(default_factory=list)
+    stand_ins: dict[str, list[dict[str, Any]]] = field(default_factory=dict)  # by role
+
+    def add(self, measure: OwnMeasure) -> None:
+        """Take in one of this half's measures."""
+        match measure:
+            case HollowMeasure():
+                self.hollow.append(measure)
+            case ClientMeasure():
+                self.clients.append(measure)
+            case ProcessMeasure():
+                self.processes.append(measure)
+
+    def events(self) -> list[Event]:
+        """The timeline as far as it has been played."""
+        return [
+            event
+            for event in build_timeline(self.scenario, self.seed)
+            if event.at_s <= min(self.elapsed_s, self.scenario.duration_s)
+        ]
+
+    def write_events(self) -> None:
+        """Write the events as JSON lines; nothing in them depends on the run itself."""
+        with (self.folder / EVENTS_FILE).open("wb") as file:
+            file.writelines(msgspec.json.encode(event) + b"\n" for event in self.events())
+
+
+class MeasureLog:
+    """Appends each measure to the run's file as it comes and keeps it in the record."""
+
+    def __init__(self, record: RunRecord) -> None:
+        self._record = record
+        self._file = (record.folder / MEASURES_FILE).open("wb")
+        self._decoder: msgspec.json.Decoder[OwnMeasure] = msgspec.json.Decoder(OwnMeasure)
+
+    def take_line(self, role: str, index: int, line: bytes) -> None:
+        """A line that a child has printed; those of the stand-ins get the child's role and index."""
+        if role in ("hollow", "clients"):
+            self._record.add(self._decoder.decode(line))
+            self._file.write(line)
+            return
+        values = {"kind": role, "index": index} | msgspec.json.decode(line)
+        self._record.stand_ins.setdefault(role, []).append(values)
+        self._file.write(msgspec.json.encode(values) + b"\n")
+
+    def take(self, measure: ProcessMeasure) -> None:
+        """A measure of the supervisor's own."""
+        self._record.add(measure)
+        self._file.write(msgspec.json.encode(measure) + b"\n")
+
+    def close(self) -> None:
+        """Write out what is buffered."""
+        self._file.close()
--- /dev/null
+++ b/emulator/fleet/summary.py
@@ -0,0 +1,313 @@
+"""The figures of a whole run, worked out from its measures, and the bars that they are held against."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from statistics import fmean, median
+
+import msgspec
+
+from emulator.fleet.latency import LatencySummary, merge
+from emulator.fleet.layout import build_layout
+from emulator.fleet.measures import ENDS, ClientMeasure, HollowMeasure, ProcessMeasure
+from emulator.fleet.run_record import RunRecord
+from emulator.fleet.settings_for_balancers import settings_object
+from emulator.fleet.stand_in_figures import (
+    ChangeInForce,
+    ServerFigures,
+    change_in_force,
+    discovery_bytes_per_s,
+    server_figures,
+)
+from emulator.fleet.tenant_quota import TokenBucket, followed_tenants
+
+BALANCER_ROLE = "balancer"
+
+CHANGE_BAR_S = 4.0
+CPU_SHARE_BAR = 0.023
+MEMORY_BAR_MB = 32.0
+BYTES_BAR_PER_S = 4000.0
+ADDED_BAR_MS = 6.8
+CARRIED_SHARE = 0.97  # of the scenario's requests: with less the machine did not carry it
+LAG_LIMIT_MS = 20.0  # p99 of how late arrivals were taken: with more latencies show the machine, too
+
+
+class RequestFigures(msgspec.Struct, frozen=True):
+    """Requests over the whole run, of the hollow or of the real balancers."""
+
+    asked_per_s: float  # by the scenario
+    carried_per_s: float  # that clients made
+    ended: dict[str, int]
+    tries_per_request: float
+    added: LatencySummary
+    lag: LatencySummary
+
+
+class DecisionFigures(msgspec.Struct, frozen=True):
+    """What the decision module costs in the hollow balancers."""
+
+    attempts_per_request: float
+    cancels_per_request: float
+    not_sent_per_request: float
+    cpu_us_per_request: float
+    log_bytes_per_s: float  # of one balancer
+
+
+class TenantFigures(msgspec.Struct, frozen=True):
+    """Requests of the followed tenants that are within their quotas, split evenly or over the whole fleet."""
+
+    followed: int
+    asked: int
+    within_split: int
+    within_fleet: int
+
+
+class ReadyFigures(msgspec.Struct, frozen=True):
+    """From a balancer's start until it is ready, restarts alone."""
+
+    starts: int
+    p50_ms: float
+    max_ms: float
+    longest_wait_ms: float  # for its turn in a worker, which only hollow ones have
+
+
+class RoleFigures(msgspec.Struct, frozen=True):
+    """What the processes of one role use, each on average and the largest at its peak."""
+
+    processes: int
+    cpu_share: float
+    cpu_share_max: float
+    resident_mb: float
+    resident_mb_max: float
+    log_bytes_per_s: float
+
+
+class Bar(msgspec.Struct, frozen=True):
+    """One figure and the most that it may be; `value` is None where the run did not measure it."""
+
+    name: str
+    value: float | None
+    limit: float
+    unit: str
+
+    @property
+    def holds(self) -> bool:
+        """A figure that was not measured does not hold."""
+        return self.value is not None and self.value <= self.limit
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Everything that a run has shown, in figures."""
+
+    scenario: str
+    seed: int
+    planned_s: float
+    elapsed_s: float
+    starting_s: float
+    time_compression: float
+    interrupted: bool
+    dead: list[str]
+    notes: list[str]  # what limits how far the figures may be trusted
+    change: ChangeInForce
+    hollow: RequestFigures | None
+    real: RequestFigures | None
+    decisions: DecisionFigures | None
+    tenants: TenantFigures | None
+    hollow_ready: ReadyFigures | None
+    real_ready: ReadyFigures | None
+    roles: dict[str, RoleFigures]
+    discovery_bytes_per_s: float | None  # to and from one balancer
+    servers: ServerFigures
+    unsound_answers: int
+    bars: list[Bar]
+
+
+def summarize_run(record: RunRecord) -> Summary:
+    """Work out the figures of a run, be it whole or cut short."""
+    hollow, real = _hollow_requests(record), _real_requests(record)
+    roles = _roles(record.processes)
+    change = change_in_force(record)
+    servers = server_figures(record)
+    per_balancer = discovery_bytes_per_s(record)
+    return Summary(
+        scenario=record.scenario.name,
+        seed=record.seed,
+        planned_s=record.scenario.duration_s,
+        elapsed_s=round(record.elapsed_s, 3),
+        starting_s=round(record.starting_s, 3),
+        time_compression=record.scenario.time_compression,
+        interrupted=record.interrupted,
+        dead=[dead.name for dead in record.dead],
+        notes=_notes(hollow, real),
+        change=change,
+        hollow=hollow,
+        real=real,
+        decisions=_decisions(record.hollow),
+        tenants=_tenants(record),
+        hollow_ready=_hollow_ready(record.hollow),
+        real_ready=_ready(record.real_ready_ms, []),
+        roles=roles,
+        discovery_bytes_per_s=per_balancer,
+        servers=servers,
+        unsound_answers=sum(measure.unsound_answers for measure in record.clients),
+        bars=_bars(change, roles, per_balancer, real, servers, len(record.dead)),
+    )
+
+
+# ---- requests ----
+
+
+def _hollow_requests(record: RunRecord) -> RequestFigures | None:
+    real = range(record.scenario.balancers.real)
+    return _requests(record, record.hollow, 1 - _share_of(record, real))
+
+
+def _real_requests(record: RunRecord) -> RequestFigures | None:
+    return _requests(record, record.clients, _share_of(record, range(record.scenario.balancers.real)))
+
+
+def _share_of(record: RunRecord, balancers: Iterable[int]) -> float:
+    layout, zones = build_layout(record.scenario, record.seed), record.scenario.zones()
+    members = layout.balancer_zones
+    return sum(zones[members[n]].traffic_share / members.count(members[n]) for n in balancers)
+
+
+def _requests(
+    record: RunRecord, measures: list[HollowMeasure] | list[ClientMeasure], share: float
+) -> RequestFigures | None:
+    if not measures:
+        return None
+    asked = sum(measure.requests.asked for measure in measures)
+    tries = sum(measure.requests.tries for measure in measures)
+    ended = {end: sum(measure.requests.ended.get(end, 0) for measure in measures) for end in ENDS}
+    measured_s = max(measure.at_s for measure in measures)
+    return RequestFigures(
+        asked_per_s=record.scenario.requests_per_s * share,
+        carried_per_s=asked / measured_s,
+        ended=ended,
+        tries_per_request=tries / max(1, asked),
+        added=merge(measure.added for measure in measures),
+        lag=merge(measure.lag for measure in measures),
+    )
+
+
+def _notes(hollow: RequestFigures | None, real: RequestFigures | None) -> list[str]:
+    notes = []
+    for name, figures in (("hollow", hollow), ("real", real)):
+        if figures is None:
+            continue
+        carried, asked, lag_ms = figures.carried_per_s, figures.asked_per_s, figures.lag.p99_us / 1e3
+        if carried < CARRIED_SHARE * asked:
+            notes.append(f"{name}: this machine carried {carried:.0f} of {asked:.0f} requests a second")
+        if lag_ms > LAG_LIMIT_MS:
+            notes.append(f"{name}: arrivals were taken late, p99 {lag_ms:.0f} ms: latencies show it too")
+    return notes
+
+
+def _decisions(measures: list[HollowMeasure]) -> DecisionFigures | None:
+    asked = sum(measure.requests.asked for measure in measures)
+    if not asked:
+        return None
+    balancer_seconds = sum(measure.balancers for measure in measures)
+    return DecisionFigures(
+        attempts_per_request=sum(measure.attempts for measure in measures) / asked,
+        cancels_per_request=sum(measure.cancels for measure in measures) / asked,
+        not_sent_per_request=sum(measure.not_sent for measure in measures) / asked,
+        cpu_us_per_request=sum(measure.decision_us for measure in measures) / asked,
+        log_bytes_per_s=sum(measure.log_bytes for measure in measures) / max(1, balancer_seconds),
+    )
+
+
+def _tenants(record: RunRecord) -> TenantFigures | None:
+    if not record.hollow:
+        return None
+    asked = sum(sum(measure.tenant_asked) for measure in record.hollow)
+    split = sum(sum(measure.tenant_within_split) for measure in record.hollow)
+    return TenantFigures(
+        followed=followed_tenants(record.scenario),
+        asked=asked,
+        within_split=split,
+        within_fleet=_within_fleet(record),
+    )
+
+
+def _within_fleet(record: RunRecord) -> int:
+    """What shares kept over all hollow balancers would let in, to a second's accuracy."""
+    layout = build_layout(record.scenario, record.seed)
+    settings = settings_object(record.scenario, layout, 0)
+    total = record.scenario.balancers.total
+    hollow_part = (total - record.scenario.balancers.real) / total
+    quotas = [party["quotaPerS"] * hollow_part for party in settings["parties"]]
+    seconds: dict[int, list[list[int]]] = defaultdict(list)
+    for measure in record.hollow:
+        seconds[round(measure.at_s)].append(measure.tenant_asked)
+    buckets = [TokenBucket(quota, 0.0) for quota in quotas[: followed_tenants(record.scenario)]]
+    within = 0
+    for second, asked in sorted(seconds.items()):
+        for bucket, wanted in zip(buckets, map(sum, zip(*asked, strict=True)), strict=False):
+            within += bucket.take(float(second), wanted)
+    return within
+
+
+# ---- starts ----
+
+
+def _hollow_ready(measures: list[HollowMeasure]) -> ReadyFigures | None:
+    restarts = [measure for measure in measures if measure.at_s > 1]  # the first second tells of the start
+    took = [value for measure in restarts for value in measure.ready_ms]
+    return _ready(took, [value for measure in restarts for value in measure.ready_wait_ms])
+
+
+def _ready(took_ms: list[float], waited_ms: list[float]) -> ReadyFigures | None:
+    if not took_ms:
+        return None
+    return ReadyFigures(len(took_ms), median(took_ms), max(took_ms), max(waited_ms, default=0.0))
+
+
+# ---- processes ----
+
+
+def _roles(measures: list[ProcessMeasure]) -> dict[str, RoleFigures]:
+    by_role: dict[str, list[ProcessMeasure]] = defaultdict(list)
+    for measure in measures:
+        by_role[measure.role].append(measure)
+    return {role: _role(own) for role, own in by_role.items()}
+
+
+def _role(measures: list[ProcessMeasure]) -> RoleFigures:
+    return RoleFigures(
+        processes=len({measure.index for measure in measures}),
+        cpu_share=fmean(measure.cpu_share for measure in measures),
+        cpu_share_max=max(measure.cpu_share for measure in measures),
+        resident_mb=fmean(measure.resident_mb for measure in measures),
+        resident_mb_max=max(measure.resident_mb for measure in measures),
+        log_bytes_per_s=fmean(measure.log_bytes_per_s for measure in measures),
+    )
+
+
+# ---- bars ----
+
+
+def _bars(
+    change: ChangeInForce,
+    roles: dict[str, RoleFigures],
+    bytes_per_s: float | None,
+    real: RequestFigures | None,
+    servers: ServerFigures,
+    dead: int,
+) -> list[Bar]:
+    """What a fleet has to hold; a balancer's cost is that of its whole process, requests included."""
+    balancer = roles.get(BALANCER_ROLE)
+    cpu_share = None if balancer is None else balancer.cpu_share
+    memory_mb = None if balancer is None else balancer.resident_mb
+    added_ms = None if real is None or not real.added.count else real.added.p99_us / 1e3
+    return [
+        Bar("change in force, p99 of the worst calm second", change.calm_p99_s, CHANGE_BAR_S, "s"),
+        Bar("CPU share of a real balancer", cpu_share, CPU_SHARE_BAR, "cores"),
+        Bar("memory of a real balancer", memory_mb, MEMORY_BAR_MB, "MB"),
+        Bar("bytes of discovery for a balancer", bytes_per_s, BYTES_BAR_PER_S, "B/s"),
+        Bar("added latency of real balancers, p99", added_ms, ADDED_BAR_MS, "ms"),
+        Bar("cold servers pushed over", servers.pushed_over, 0.0, "servers"),
+        Bar("processes that died", float(dead), 0.0, "processes"),
+    ]
--- /dev/null
+++ b/emulator/fleet/supervisor.py
@@ -0,0 +1,254 @@
+"""Starts the processes of a run, plays the real balancers' part of the timeline, and ends all it started."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from random import Random
+
+from emulator.fleet.contract import ProcessConfig, Start
+from emulator.fleet.free_ports import choose_addresses
+from emulator.fleet.layout import build_layout
+from emulator.fleet.managed_child import ManagedChild
+from emulator.fleet.process_figures import ProcessFigures
+from emulator.fleet.real_balancers import ROLE as BALANCER_ROLE
+from emulator.fleet.real_balancers import NotReadyError, RealBalancer, build_real_balancers
+from emulator.fleet.run_record import DeadChild, MeasureLog, RunRecord
+from emulator.fleet.scenario import Scenario
+from emulator.fleet.timeline import BalancersStarted, BalancersStopped, Event, build_timeline
+
+SHARDS = 2
+START_DELAY_S = 0.5  # from the last `Ready` to the scenario's time 0
+START_TIMEOUT_S = 240.0  # until all are ready
+LOOK_S = 0.1  # between two looks whether a child has died
+MEASURE_S = 1.0
+
+Progress = Callable[[str, float], None]  # phase, seconds of the scenario
+
+
+class Supervisor:
+    """One run, from the first process to the end of the last."""
+
+    def __init__(self, path: Path, scenario: Scenario, record: RunRecord, progress: Progress) -> None:
+        self.scenario = scenario
+        self.record = record
+        self._progress = progress
+        self._logs = record.folder / "logs"
+        self._logs.mkdir()
+        self._measures = MeasureLog(record)
+        self._random = Random(f"{record.seed}/starts of real balancers")
+        self._stop = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._path = path.resolve()
+        self._addresses = choose_addresses(SHARDS)
+        layout = build_layout(scenario, record.seed)
+        self._balancers = build_real_balancers(scenario, layout, self._addresses, self._logs)
+        self._children: list[ManagedChild] = []
+        self._figures = [ProcessFigures("supervisor", 0, None)]
+        self._looked_up: list[Callable[[], int | None]] = [os.getpid]
+
+    async def run(self) -> None:
+        """Run the scenario; whatever happens, everything that was started is ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, self._interrupt)
+        started = time.monotonic()
+        try:
+            if await self._start_all():
+                self.record.starting_s = time.monotonic() - started
+                await self._play()
+        finally:
+            await self._end_all()
+            self._measures.close()
+            for number in (signal.SIGINT, signal.SIGTERM):
+                loop.remove_signal_handler(number)
+
+    def _interrupt(self) -> None:
+        self.record.interrupted = True
+        self._stop.set()
+
+    # ---- start ----
+
+    async def _start_all(self) -> bool:
+        """Start in the order of who connects to whom; False if the run ended meanwhile."""
+        watch = asyncio.create_task(self._watch_children())
+        starting = asyncio.create_task(self._start_in_order())
+        stopped = asyncio.create_task(self._stop.wait())
+        done, _ = await asyncio.wait(
+            {starting, stopped}, timeout=START_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        stopped.cancel()
+        if starting in done and not self._stop.is_set():
+            self._tasks.add(watch)
+            try:
+                starting.result()
+            except (NotReadyError, EOFError, OSError) as error:
+                await asyncio.sleep(LOOK_S)  # a child that has died is named by its own exit code
+                self._note_deaths()
+                if not self.record.dead:
+                    self.record.dead.append(DeadChild(str(error), None, ()))
+                return False
+            return True
+        for task in (starting, watch):
+            task.cancel()
+        await asyncio.gather(starting, watch, return_exceptions=True)
+        if not done:
+            late = [child.name for child in self._children if not child.is_ready]
+            self.record.dead.append(DeadChild(f"not ready in time: {', '.join(late)}", None, ()))
+        return False
+
+    async def _start_in_order(self) -> None:
+        stand_ins = [self._child("discovery", "emulator.fleet.discovery", 0, 1)]
+        stand_ins += [
+            self._child("photo_servers", "emulator.fleet.photo_server_process", index, SHARDS)
+            for index in range(SHARDS)
+        ]
+        await self._start_children("starting the stand-ins", stand_ins)
+        workers = self.scenario.balancers.hollow_workers
+        if self.scenario.balancers.total == self.scenario.balancers.real:
+            workers = 0
+        hollow = [
+            self._child("hollow", "emulator.fleet.hollow_worker", index, workers) for index in range(workers)
+        ]
+        await self._start_children("starting the hollow balancers", hollow)
+        self._progress("starting the real balancers", 0.0)
+        for balancer in self._balancers:
+            self._follow(BALANCER_ROLE, balancer)
+            await balancer.start(self._random)
+            await balancer.wait_ready()
+        if self._balancers:
+            clients = [self._child("clients", "emulator.fleet.clients", 0, 1)]
+            await self._start_children("starting the clients", clients)
+
+    def _child(self, role: str, module: str, index: int, processes: int) -> ManagedChild:
+        config = ProcessConfig(
+            scenario=str(self._path),
+            seed=self.record.seed,
+            index=index,
+            processes=processes,
+            addresses=self._addresses,
+        )
+        child = ManagedChild(role, module, config, self._logs, self._line_came)
+        self._follow(role, child)
+        return child
+
+    def _follow(self, role: str, member: ManagedChild | RealBalancer) -> None:
+        index = member.index if isinstance(member, ManagedChild) else member.number
+        self._figures.append(ProcessFigures(role, index, member.log))
+        self._looked_up.append(lambda: member.pid)
+
+    async def _start_children(self, phase: str, children: list[ManagedChild]) -> None:
+        self._progress(phase, 0.0)
+        for child in children:
+            self._children.append(child)
+            await child.start()
+        for child in children:
+            await child.ready()
+
+    def _line_came(self, child: ManagedChild, line: bytes) -> None:
+        self._measures.take_line(child.role, child.index, line)
+
+    # ---- run ----
+
+    async def _play(self) -> None:
+        start = Start(time.monotonic_ns() + int(START_DELAY_S * 1e9))
+        for child in self._children:
+            child.begin(start)
+        timeline = build_timeline(self.scenario, self.record.seed)
+        self._run_task(self._play_events(start, timeline))
+        end_s, next_s = self.scenario.duration_s, MEASURE_S
+        while not self._stop.is_set() and self.record.elapsed_s < end_s:
+            wait_s = min(next_s, end_s) - _since(start)
+            try:
+                async with asyncio.timeout(max(0.0, wait_s)):
+                    await self._stop.wait()
+            except TimeoutError:
+                pass
+            self.record.elapsed_s = min(_since(start), end_s)
+            if _since(start) >= next_s:
+                self._measure(_since(start))
+                next_s += MEASURE_S
+            self._progress("running", self.record.elapsed_s)
+
+    async def _play_events(self, start: Start, timeline: tuple[Event, ...]) -> None:
+        for event in timeline:
+            await asyncio.sleep(max(0.0, event.at_s - _since(start)))
+            if isinstance(event, BalancersStopped):
+                for balancer in self._own(event.balancers):
+                    balancer.stop(graceful=event.graceful)
+            elif isinstance(event, BalancersStarted):
+                for balancer in self._own(event.balancers):
+                    self._run_task(self._restart(balancer))
+
+    def _own(self, balancers: tuple[int, ...]) -> list[RealBalancer]:
+        return [balancer for balancer in self._balancers if balancer.number in balancers]
+
+    async def _restart(self, balancer: RealBalancer) -> None:
+        await balancer.ended()
+        began = time.monotonic()
+        await balancer.start(self._random)
+        try:
+            await balancer.wait_ready()
+        except NotReadyError as error:
+            self.record.dead.append(DeadChild(str(error), None, tuple(balancer.log.last_lines())))
+            self._stop.set()
+            return
+        self.record.real_ready_ms.append(round((time.monotonic() - began) * 1e3, 1))
+
+    def _measure(self, at_s: float) -> None:
+        for figures, pid in zip(self._figures, self._looked_up, strict=True):
+            measure = figures.look(at_s, pid())
+            if measure is not None:
+                self._measures.take(measure)
+
+    def _run_task(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # ---- deaths ----
+
+    async def _watch_children(self) -> None:
+        while not self._note_deaths():
+            await asyncio.sleep(LOOK_S)
+        self._stop.set()
+
+    def _note_deaths(self) -> bool:
+        for child in self._children:
+            if child.process is not None and child.pid is None and not child.ending:
+                self._note_death(child.name, child.process.returncode, child.log.last_lines())
+        for balancer in self._balancers:
+            if balancer.process is not None and balancer.pid is None and not balancer.ending:
+                name = f"{BALANCER_ROLE} {balancer.number}"
+                self._note_death(name, balancer.process.returncode, balancer.log.last_lines())
+        return bool(self.record.dead)
+
+    def _note_death(self, name: str, exit_code: int | None, lines: list[str]) -> None:
+        if name not in {dead.name for dead in self.record.dead}:
+            self.record.dead.append(DeadChild(name, exit_code, tuple(lines)))
+
+    # ---- end ----
+
+    async def _end_all(self) -> None:
+        """The clients first, so that nobody is asked who has gone; nothing is left behind."""
+        self._progress("ending", self.record.elapsed_s)
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for role in ("clients", BALANCER_ROLE, "hollow", "discovery", "photo_servers"):
+            if role == BALANCER_ROLE:
+                for balancer in self._balancers:
+                    balancer.stop(graceful=False)
+                await asyncio.gather(*(balancer.ended() for balancer in self._balancers))
+            else:
+                children = [child for child in self._children if child.role == role]
+                await asyncio.gather(*(child.end() for child in children))
+
+
+def _since(start: Start) -> float:
+    return (time.monotonic_ns() - start.monotonic_ns) / 1e9
