--- a/emulator/fleet/hollow.py
+++ b/emulator/fleet/hollow.py
@@ -242,7 +242,10 @@
         else:
             actions = method(now, *arguments)
         for action in actions:
-            self._carry_out(now, action)
+            if type(action) is Log:  # by far the most: one for each server
+                self.counts.log_bytes += len(action.text)
+            else:
+                self._carry_out(now, action)
 
     def _carry_out(self, now: int, action: Action) -> None:
         if isinstance(action, Send):
@@ -257,8 +260,6 @@
             self._final(now, action.request_id, TryEnd.FAILED, 0)
         elif isinstance(action, Watch):
             self.effects.watch()
-        elif isinstance(action, Log):
-            self.counts.log_bytes += len(action.text)
 
     def _timer(self, token: str, now: int) -> None:
         self._tell(now, self._module.on_timer, token)
--- a/emulator/fleet/managed_child.py
+++ b/emulator/fleet/managed_child.py
@@ -49,7 +49,7 @@
         return self.process.pid
 
     async def start(self) -> None:
-        """Start the process and give it its configuration."""
+        """Start the process; it waits for its configuration."""
         with self.log.open() as log_file:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -62,6 +62,9 @@
                 limit=LINE_LIMIT,
                 start_new_session=True,
             )
+
+    def configure(self) -> None:
+        """Give it its configuration: everything that it connects to is ready."""
         self._write(self._config)
 
     async def ready(self) -> None:
--- a/emulator/fleet/report.py
+++ b/emulator/fleet/report.py
@@ -8,7 +8,6 @@
 from rich.console import Console
 from rich.table import Table
 
-from emulator.fleet.plots import write_plots
 from emulator.fleet.run_record import RunRecord
 from emulator.fleet.summary import ReadyFigures, RequestFigures, RoleFigures, Summary, summarize_run
 
@@ -20,6 +19,8 @@
 
 def write_report(record: RunRecord) -> Summary:
     """Write everything but the measures, which are on disk already; the run's figures."""
+    from emulator.fleet.plots import write_plots  # matplotlib loads slowly: not for a bad call
+
     record.write_events()
     summary = summarize_run(record)
     text = msgspec.json.format(msgspec.json.encode(summary), indent=2)
--- a/emulator/fleet/supervisor.py
+++ b/emulator/fleet/supervisor.py
@@ -102,27 +102,32 @@
         return False
 
     async def _start_in_order(self) -> None:
+        """Processes load side by side, and are configured in the order of who connects to whom."""
         stand_ins = [self._child("discovery", "emulator.fleet.discovery", 0, 1)]
         stand_ins += [
             self._child("photo_servers", "emulator.fleet.photo_server_process", index, SHARDS)
             for index in range(SHARDS)
         ]
-        await self._start_children("starting the stand-ins", stand_ins)
-        workers = self.scenario.balancers.hollow_workers
-        if self.scenario.balancers.total == self.scenario.balancers.real:
-            workers = 0
+        workers = self._count_workers()
         hollow = [
             self._child("hollow", "emulator.fleet.hollow_worker", index, workers) for index in range(workers)
         ]
-        await self._start_children("starting the hollow balancers", hollow)
+        clients = [self._child("clients", "emulator.fleet.clients", 0, 1)] if self._balancers else []
+        for child in self._children:
+            await child.start()
+        await self._make_ready("starting the stand-ins", stand_ins)
+        await self._make_ready("starting the hollow balancers", hollow)
         self._progress("starting the real balancers", 0.0)
         for balancer in self._balancers:
             self._follow(BALANCER_ROLE, balancer)
             await balancer.start(self._random)
+        for balancer in self._balancers:
             await balancer.wait_ready()
-        if self._balancers:
-            clients = [self._child("clients", "emulator.fleet.clients", 0, 1)]
-            await self._start_children("starting the clients", clients)
+        await self._make_ready("starting the clients", clients)
+
+    def _count_workers(self) -> int:
+        all_real = self.scenario.balancers.total == self.scenario.balancers.real
+        return 0 if all_real else self.scenario.balancers.hollow_workers
 
     def _child(self, role: str, module: str, index: int, processes: int) -> ManagedChild:
         config = ProcessConfig(
@@ -133,6 +138,7 @@
             addresses=self._addresses,
         )
         child = ManagedChild(role, module, config, self._logs, self._line_came)
+        self._children.append(child)
         self._follow(role, child)
         return child
 
@@ -141,11 +147,10 @@
         self._figures.append(ProcessFigures(role, index, member.log))
         self._looked_up.append(lambda: member.pid)
 
-    async def _start_children(self, phase: str, children: list[ManagedChild]) -> None:
+    async def _make_ready(self, phase: str, children: list[ManagedChild]) -> None:
         self._progress(phase, 0.0)
         for child in children:
-            self._children.append(child)
-            await child.start()
+            child.configure()
         for child in children:
             await child.ready()
 
--- /dev/null
+++ b/tests/emulator/fleet_fakes.py
@@ -0,0 +1,191 @@
+"""A clock, a scenario and servers for hollow balancers, without sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from dykeshift.interface import ListKind, Outcome, ServerEntry, ServerState
+from dykeshift.settings import parse_settings
+from emulator.fleet.client_model import ClientModel, ClientTry, TryEnd
+from emulator.fleet.hollow import HollowAttempt, HollowBalancer
+from emulator.fleet.hollow_deadlines import Deadlines
+from emulator.fleet.hollow_discovery import ListedStandIn
+from emulator.fleet.layout import build_layout
+from emulator.fleet.scenario import Scenario, load_scenario
+from emulator.fleet.settings_for_balancers import settings_object
+
+MS = 1_000_000
+S = 1000 * MS
+
+SCENARIO_TEXT = """
+name = "small"
+seed = 1
+duration_s = {duration_s}
+requests_per_s = {requests_per_s}
+[[regions]]
+name = "one"
+zones = [
+    {{ name = "a", server_share = 0.5, traffic_share = 0.5 }},
+    {{ name = "b", server_share = 0.5, traffic_share = 0.5 }},
+]
+[servers]
+count = 12
+kinds = [{{ name = "box", share = 1.0, cores = 1, speed = [0.9, 1.1] }}]
+[cold_start]
+from_share = 0.4
+warm_s = 2.0
+overload_multiple = 3.0
+overload_window_s = 1.0
+[balancers]
+total = {balancers}
+real = {real}
+hollow_workers = 1
+[[classes]]
+name = "read"
+share = 0.8
+work_ms = 4.0
+aim_ms = 100.0
+deadline_ms = 400.0
+worth = 2.0
+idempotency = "safe"
+[[classes]]
+name = "write"
+share = 0.2
+work_ms = 6.0
+aim_ms = 200.0
+deadline_ms = 600.0
+worth = 3.0
+idempotency = "keyed"
+window_ms = 600.0
+[tenants]
+count = 10
+zipf_exponent = 1.0
+[clients]
+retries = 2
+try_share = 0.5
+backoff_ms = 20.0
+honour_retry_after = 0.5
+leaving_share = 0.05
+[network]
+same_zone_ms = 0.1
+cross_zone_ms = 0.5
+cross_region_ms = 5.0
+[discovery]
+lag_s = 0.1
+cross_region_lag_s = 0.1
+failure_notice_s = 0.5
+spread_s = 0.05
+period_s = 0.1
+[[events]]
+kind = "drain_wave"
+at_s = 0.5
+servers = 2
+group = 1
+every_s = 0.5
+drain_s = 0.5
+down_s = 0.5
+"""
+
+
+def write_scenario(
+    folder: Path,
+    duration_s: float = 4.0,
+    requests_per_s: float = 120.0,
+    balancers: int = 4,
+    real: int = 1,
+    events: str = "",
+) -> Path:
+    """A small scenario file."""
+    path = folder / "small.toml"
+    text = SCENARIO_TEXT.format(
+        duration_s=duration_s, requests_per_s=requests_per_s, balancers=balancers, real=real
+    )
+    path.write_text(text + events, encoding="utf-8")
+    return path
+
+
+def small_scenario(folder: Path) -> Scenario:
+    """The small scenario, read."""
+    return load_scenario(write_scenario(folder))
+
+
+@dataclass
+class Answer:
+    """A final answer that a client had."""
+
+    at: int
+    client_try: ClientTry
+    end: TryEnd
+
+
+@dataclass
+class FakeEffects:
+    """Carries out what a hollow balancer decides, on a clock of its own."""
+
+    now: int = 100 * S
+    deadlines: Deadlines = field(default_factory=Deadlines)
+    sent: list[HollowAttempt] = field(default_factory=list)
+    withdrawn: list[HollowAttempt] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    watches: int = 0
+    serve: Callable[[HollowAttempt], tuple[int, Outcome] | None] = lambda attempt: (5 * MS, Outcome.OK)
+
+    def send(self, attempt: HollowAttempt, work_us: int, wait_us: int) -> None:
+        """The fake server answers after its time; never, if `serve` says None."""
+        assert wait_us > 0
+        attempt.number = len(self.sent)
+        self.sent.append(attempt)
+        served = self.serve(attempt)
+        if served is not None:
+            after, outcome = served
+            self.deadlines.add(self.now + after, lambda now: self._deliver(now, attempt, outcome))
+
+    def _deliver(self, now: int, attempt: HollowAttempt, outcome: Outcome) -> None:
+        if attempt not in self.withdrawn:
+            attempt.balancer.attempt_ended(now, attempt, outcome)
+
+    def withdraw(self, attempt: HollowAttempt) -> None:
+        """Given up."""
+        self.withdrawn.append(attempt)
+
+    def add_deadline(self, at: int, callback: Callable[[int], None]) -> None:
+        """Call back at that time."""
+        self.deadlines.add(at, callback)
+
+    def watch(self) -> None:
+        """Counted."""
+        self.watches += 1
+
+    def answered(self, now: int, client_try: ClientTry, end: TryEnd, own_us: int, retry_after: int) -> None:
+        """Noted."""
+        self.answers.append(Answer(now, client_try, end))
+
+    def run_for(self, duration: int) -> None:
+        """Let the time pass, from deadline to deadline."""
+        end = self.now + duration
+        while (at := self.deadlines.next_at()) is not None and at <= end:
+            self.now = max(self.now, at)
+            self.deadlines.run_due(lambda: self.now, 1)
+        self.now = end
+
+
+def make_balancer(scenario: Scenario, effects: FakeEffects, servers: int = 12) -> HollowBalancer:
+    """A started balancer with a list of ready servers."""
+    layout = build_layout(scenario, 1)
+    settings = replace(parse_settings(settings_object(scenario, layout, 0)), balancers=1)
+    balancer = HollowBalancer(settings, 1, effects)
+    balancer.start(effects.now)
+    balancer.apply_list(effects.now, ListKind.FULL, [listed(number) for number in range(servers)])
+    return balancer
+
+
+def listed(number: int, state: ServerState = ServerState.READY) -> ListedStandIn:
+    """A list entry whose id differs from the stand-in's number."""
+    return ListedStandIn(ServerEntry(1000 + number, number % 2, 0, 0, state, 1.0, 0), number)
+
+
+def make_model(scenario: Scenario) -> ClientModel:
+    """The scenario's clients."""
+    return ClientModel(scenario, build_layout(scenario, 1), "test")
