--- a/emulator/fleet/plots.py
+++ b/emulator/fleet/plots.py
@@ -73,7 +73,8 @@
     for event in events:
         name = type(event).__name__
         axes[0].annotate(name, (event.at_s, 1), xycoords=("data", "axes fraction"), rotation=30, fontsize=5)
-    figure.tight_layout()
+    height_in = figure.get_figheight()
+    figure.subplots_adjust(left=0.08, right=0.98, bottom=0.5 / height_in, top=1 - 0.7 / height_in)
     figure.savefig(path, dpi=100)
 
 
