--- a/emulator/fleet/clients.py
+++ b/emulator/fleet/clients.py
@@ -31,7 +31,7 @@
 
 ROLE = "clients"
 TICK_S = 0.001
-DUE_AT_ONCE = 200
+MOST_AT_ONCE_NS = 5_000_000  # for deadlines, before the sockets are looked at again
 ANSWER_GRACE_NS = 20 * NS_PER_MS  # a client gives up so long after its deadline
 REFUSALS = (429, 503)
 
@@ -104,7 +104,7 @@
 
     async def _tick(self) -> None:
         while True:
-            busy = self.deadlines.run_due(time.monotonic_ns, DUE_AT_ONCE) == DUE_AT_ONCE
+            busy = self.deadlines.run_due(time.monotonic_ns, time.monotonic_ns() + MOST_AT_ONCE_NS)
             await asyncio.sleep(0 if busy else TICK_S)
 
     # ---- tries ----
--- a/emulator/fleet/hollow_deadlines.py
+++ b/emulator/fleet/hollow_deadlines.py
@@ -27,11 +27,13 @@
         """When the earliest entry comes due; None if there is none."""
         return self._entries[0][0] if self._entries else None
 
-    def run_due(self, clock: Clock, limit: int) -> int:
-        """Call what has come due, `limit` entries at most; the number that were called."""
+    def run_due(self, clock: Clock, until: int) -> bool:
+        """Call what has come due, but no more once it is `until`; whether any is left."""
         entries = self._entries
-        for called in range(limit):
-            if not entries or entries[0][0] > clock():
-                return called
-            heapq.heappop(entries)[2](clock())
-        return limit
+        now = clock()
+        while entries and entries[0][0] <= now:
+            if now > until:
+                return True
+            heapq.heappop(entries)[2](now)
+            now = clock()
+        return False
--- a/emulator/fleet/hollow_worker.py
+++ b/emulator/fleet/hollow_worker.py
@@ -10,6 +10,8 @@
 from dataclasses import replace
 from random import Random
 
+import structlog
+
 from dykeshift.interface import LoadReport, Outcome, Settings
 from dykeshift.settings import parse_settings
 from emulator.fleet.client_model import NS_PER_S, ClientModel, requests_per_s_of
@@ -31,11 +33,14 @@
 
 ROLE = "hollow"
 FLUSH_S = 0.002  # between two flushes of the batches
-DUE_AT_ONCE = 500  # deadlines that are run before the sockets are looked at again
+MOST_AT_ONCE_NS = 5_000_000  # for deadlines, before the sockets are looked at again
 STARTS_AT_ONCE = 1  # balancers of this process that start at a time: they share its core
 GC_THRESHOLDS = 200_000, 20, 100  # whole collections walk the lists of all balancers of the process
 
 
+log = structlog.get_logger()
+
+
 class HollowWorker:
     """All hollow balancers of one process."""
 
@@ -107,7 +112,7 @@
 
     async def _tick(self) -> None:
         while True:
-            busy = self.deadlines.run_due(time.monotonic_ns, DUE_AT_ONCE) == DUE_AT_ONCE
+            busy = self.deadlines.run_due(time.monotonic_ns, time.monotonic_ns() + MOST_AT_ONCE_NS)
             self.links.flush()
             await asyncio.sleep(0 if busy else FLUSH_S)
 
@@ -136,7 +141,10 @@
         asked_for = time.monotonic()
         async with self._starts:
             began = time.monotonic()
-            await host.start()
+            try:
+                await host.start()
+            except TimeoutError:
+                log.warning("not ready in time", balancer=host.number)
             ended = time.monotonic()
         self.meter.became_ready((ended - began) * 1e3, (began - asked_for) * 1e3)
 
