Drop arrivals that come due too late, start hollow balancers one by one, count bytes by role

A worker that had fallen behind went on to serve clients that had long gone: of 6,003 requests a second asked on a busy machine it answered 3% in time. A first try that is 250 ms late is now not made and counts as missed, so that the figures hold for the part that is carried. Before time 0 no deadlines run while a balancer reads its first list. The report adds network bytes of a role and memory of a hollow balancer.

--- a/emulator/fleet/client_model.py
+++ b/emulator/fleet/client_model.py
@@ -15,6 +15,7 @@
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
 LEAST_WORK_US = 50
+MOST_LAG_NS = 250_000_000  # a first try that is this late is not made: the machine does not carry it
 
 
 class TryEnd(StrEnum):
--- a/emulator/fleet/clients.py
+++ b/emulator/fleet/clients.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from emulator.fleet.client_model import (
+    MOST_LAG_NS,
     NS_PER_MS,
     NS_PER_S,
     ClientModel,
@@ -116,7 +117,10 @@
     def _arrive(self, balancer: int, due: int, now: int) -> None:
         self._counts.asked += 1
         self._lag.record_us((now - due) // 1000)
-        self._begin(balancer, self.model.first_try(balancer, due), now)
+        if now - due > MOST_LAG_NS:
+            self._counts.missed += 1
+        else:
+            self._begin(balancer, self.model.first_try(balancer, due), now)
         self._plan_arrival(balancer, due)
 
     def _begin(self, balancer: int, client_try: ClientTry, now: int) -> None:
--- a/emulator/fleet/hollow_host.py
+++ b/emulator/fleet/hollow_host.py
@@ -56,6 +56,7 @@
         self.number = number
         self.zone = zone
         self.balancer: HollowBalancer | None = None
+        self.has_list = asyncio.Event()  # its first list has come, be it before a restart
         self._agent = agent
         self._settings = settings
         self._requests_per_s = requests_per_s
@@ -94,9 +95,11 @@
             else:
                 balancer.stop(time.monotonic_ns())
 
-    @staticmethod
-    def _list_came(balancer: HollowBalancer, now: int, kind: ListKind, listed: list[ListedStandIn]) -> None:
+    def _list_came(
+        self, balancer: HollowBalancer, now: int, kind: ListKind, listed: list[ListedStandIn]
+    ) -> None:
         balancer.apply_list(now, kind, listed)
+        self.has_list.set()
 
     def stop(self, now: int) -> HollowCounts:
         """Kill the balancer: its clients lose their connections. What it had counted."""
@@ -120,15 +123,18 @@
 
     def _arrive(self, now: int) -> None:
         due = self._next_arrival
+        if self.shared.meter.arrived(now - due):
+            self._make_first_try(due, now)
+        self._next_arrival = due + self.shared.model.gap_ns(self._requests_per_s)
+        self.shared.deadlines.add(self._next_arrival, self._arrive)
+
+    def _make_first_try(self, due: int, now: int) -> None:
         client_try = self.shared.model.first_try(self.number, due)
         tenant = client_try.request.tenant
-        self.shared.meter.arrived(now - due)
         if tenant < len(self._quotas):
             within_quota = self._quotas[tenant].take(due / NS_PER_S) > 0
             self.shared.meter.count_tenant(tenant, within_quota)
         self._submit(now, client_try)
-        self._next_arrival = due + self.shared.model.gap_ns(self._requests_per_s)
-        self.shared.deadlines.add(self._next_arrival, self._arrive)
 
     def try_again(self, client_try: ClientTry, now: int) -> None:
         """A client comes from another balancer, or again."""
--- a/emulator/fleet/hollow_measuring.py
+++ b/emulator/fleet/hollow_measuring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from emulator.fleet.client_model import MOST_LAG_NS
 from emulator.fleet.hollow import HollowCounts
 from emulator.fleet.latency import LatencyRecorder
 from emulator.fleet.measures import HollowMeasure, RequestCounts
@@ -22,10 +23,13 @@
         self._ready_wait_ms: list[float] = []
         self._bytes_moved = (0, 0)
 
-    def arrived(self, lag_ns: int) -> None:
-        """A first try has been taken, so much later than it was due."""
+    def arrived(self, lag_ns: int) -> bool:
+        """A first try is taken so much later than it was due; False: too late to be made at all."""
         self.counts.asked += 1
         self._lag.record_us(lag_ns // 1000)
+        missed = lag_ns > MOST_LAG_NS
+        self.counts.missed += missed
+        return not missed
 
     def count_tenant(self, tenant: int, within_quota: bool) -> None:
         """It was one of a tenant that is followed."""
--- a/emulator/fleet/hollow_worker.py
+++ b/emulator/fleet/hollow_worker.py
@@ -33,6 +33,7 @@
 
 ROLE = "hollow"
 FLUSH_S = 0.002  # between two flushes of the batches
+FIRST_LIST_TIMEOUT_S = 1.0  # for one balancer before the scenario's time 0
 MOST_AT_ONCE_NS = 5_000_000  # for deadlines, before the sockets are looked at again
 STARTS_AT_ONCE = 1  # balancers of this process that start at a time: they share its core
 GC_THRESHOLDS = 200_000, 20, 100  # whole collections walk the lists of all balancers of the process
@@ -92,9 +93,11 @@
         """Connect to the photo servers and start all balancers."""
         gc.set_threshold(*GC_THRESHOLDS)
         await self.links.connect(self.config.addresses.shard_ports)
-        self._run_task(self._tick())
         for host in self._hosts:
             await self._start(host)
+            await self._first_list(host)
+            self._run_due()
+        self._run_task(self._tick())
 
     def start(self, clock: Clock) -> None:
         """Let clients come."""
@@ -112,10 +115,21 @@
 
     async def _tick(self) -> None:
         while True:
-            busy = self.deadlines.run_due(time.monotonic_ns, time.monotonic_ns() + MOST_AT_ONCE_NS)
+            busy = self._run_due()
             self.links.flush()
             await asyncio.sleep(0 if busy else FLUSH_S)
 
+    def _run_due(self) -> bool:
+        return self.deadlines.run_due(time.monotonic_ns, time.monotonic_ns() + MOST_AT_ONCE_NS)
+
+    async def _first_list(self, host: HollowHost) -> None:
+        """Wait for it before the next one starts: the sweeps of those with a list would delay the reading."""
+        try:
+            async with asyncio.timeout(FIRST_LIST_TIMEOUT_S):
+                await host.has_list.wait()
+        except TimeoutError:
+            log.warning("no list in time", balancer=host.number)
+
     def _run_task(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/emulator/fleet/measures.py
+++ b/emulator/fleet/measures.py
@@ -14,6 +14,7 @@
     """Requests and tries since the last measure."""
 
     asked: int = 0  # first tries that have come due
+    missed: int = 0  # of these, never made: this machine came to them too late
     tries: int = 0
     ended: dict[str, int] = {}  # by RequestEnd
     tries_ended: dict[str, int] = {}  # by TryEnd
--- a/emulator/fleet/plots.py
+++ b/emulator/fleet/plots.py
@@ -109,9 +109,20 @@
             times = sorted(seconds)
             one.plot(times, [sum(seconds[at]) / len(seconds[at]) for at in times], label=role)
         one.set_ylabel(name)
+    moved_at, per_balancer = _discovery_bytes(record)
+    axes[-1].plot(moved_at, per_balancer, "--", label="discovery and one balancer")
+    axes[-1].set_ylabel("log of one process, network: KB/s")
     _save(figure, axes, events, record.folder / "cost_by_role.png")
 
 
+def _discovery_bytes(record: RunRecord) -> tuple[list[float], list[float]]:
+    """Times, and KB/s between discovery and one balancer."""
+    seconds = [line for line in record.stand_ins.get(DISCOVERY_ROLE, []) if line["type"] == "DiscoverySecond"]
+    total = record.scenario.balancers.total
+    moved = [(line["sent_bytes"] + line["received_bytes"]) / 1e3 / total for line in seconds]
+    return [line["at_s"] for line in seconds], moved
+
+
 def _plot_latency(record: RunRecord, events: list[Event]) -> None:
     figure = Figure(figsize=(WIDTH_IN, 2 * HEIGHT_IN))
     axes = [figure.add_subplot(2, 1, row + 1) for row in range(2)]
--- a/emulator/fleet/report.py
+++ b/emulator/fleet/report.py
@@ -13,6 +13,8 @@
 
 SUMMARY_FILE = "summary.json"
 US_PER_MS = 1e3
+# What the added latency is measured from: of a hollow balancer's attempt only the work is known.
+ADDED_TO = {"hollow": "an idle server's time", "real": "the time at the server"}
 
 Row = tuple[str, str]  # name and value
 
@@ -85,7 +87,7 @@
     )
     yield f"{name} requests by end", ", ".join(f"{end} {count}" for end, count in figures.ended.items())
     yield (
-        f"{name} added latency",
+        f"{name} added latency, beyond {ADDED_TO[name]}",
         _latency_text(figures.added.p50_us, figures.added.p99_us, figures.added.max_us),
     )
     yield (
@@ -101,7 +103,8 @@
             "decisions",
             f"{decisions.cpu_us_per_request:.0f} us CPU a request, "
             f"{decisions.attempts_per_request:.2f} attempts a request, "
-            f"log {decisions.log_bytes_per_s / 1e3:.1f} KB/s a balancer",
+            f"log {decisions.log_bytes_per_s / 1e3:.1f} KB/s a balancer, "
+            f"{decisions.resident_mb_per_balancer or 0:.1f} MB a balancer",
         )
     if tenants is not None and tenants.asked:
         yield (
@@ -125,8 +128,10 @@
 
 
 def _role_text(figures: RoleFigures) -> str:
+    network = figures.network_bytes_per_s
+    text = "" if network is None else f", network {network / 1e3:.0f} KB/s in all"
     return (
         f"{figures.processes} processes, CPU {100 * figures.cpu_share:.1f}% of a core each "
         f"(max {100 * figures.cpu_share_max:.0f}%), {figures.resident_mb:.0f} MB "
-        f"(max {figures.resident_mb_max:.0f}), log {figures.log_bytes_per_s / 1e3:.1f} KB/s"
+        f"(max {figures.resident_mb_max:.0f}), log {figures.log_bytes_per_s / 1e3:.1f} KB/s{text}"
     )
--- a/emulator/fleet/stand_in_figures.py
+++ b/emulator/fleet/stand_in_figures.py
@@ -68,12 +68,12 @@
 
 
 def discovery_bytes_per_s(record: RunRecord) -> float | None:
-    """Bytes to and from one balancer in a second, on average."""
+    """Bytes between discovery and all balancers in a second, on average."""
     lines = [line for line in record.stand_ins.get(DISCOVERY_ROLE, []) if line["type"] == "DiscoverySecond"]
     if not lines:
         return None
     moved = sum(line["sent_bytes"] + line["received_bytes"] for line in lines)
-    return float(moved) / len(lines) / record.scenario.balancers.total
+    return float(moved) / len(lines)
 
 
 def server_figures(record: RunRecord) -> ServerFigures:
--- a/emulator/fleet/summary.py
+++ b/emulator/fleet/summary.py
@@ -14,6 +14,7 @@
 from emulator.fleet.run_record import RunRecord
 from emulator.fleet.settings_for_balancers import settings_object
 from emulator.fleet.stand_in_figures import (
+    DISCOVERY_ROLE,
     ChangeInForce,
     ServerFigures,
     change_in_force,
@@ -22,7 +23,7 @@
 )
 from emulator.fleet.tenant_quota import TokenBucket, followed_tenants
 
-BALANCER_ROLE = "balancer"
+BALANCER_ROLE, HOLLOW_ROLE = "balancer", "hollow"
 
 CHANGE_BAR_S = 4.0
 CPU_SHARE_BAR = 0.023
@@ -37,7 +38,7 @@
     """Requests over the whole run, of the hollow or of the real balancers."""
 
     asked_per_s: float  # by the scenario
-    carried_per_s: float  # that clients made
+    carried_per_s: float  # made in time, of those asked; the machine was too slow for the others
     ended: dict[str, int]
     tries_per_request: float
     added: LatencySummary
@@ -52,6 +53,7 @@
     not_sent_per_request: float
     cpu_us_per_request: float
     log_bytes_per_s: float  # of one balancer
+    resident_mb_per_balancer: float | None  # of the worker's whole memory
 
 
 class TenantFigures(msgspec.Struct, frozen=True):
@@ -81,6 +83,7 @@
     resident_mb: float
     resident_mb_max: float
     log_bytes_per_s: float
+    network_bytes_per_s: float | None  # of all its processes, sent and received; None where nobody counts
 
 
 class Bar(msgspec.Struct, frozen=True):
@@ -126,10 +129,12 @@
 def summarize_run(record: RunRecord) -> Summary:
     """Work out the figures of a run, be it whole or cut short."""
     hollow, real = _hollow_requests(record), _real_requests(record)
-    roles = _roles(record.processes)
+    roles = _roles(record)
     change = change_in_force(record)
     servers = server_figures(record)
-    per_balancer = discovery_bytes_per_s(record)
+    discovery_bytes = discovery_bytes_per_s(record)
+    total = record.scenario.balancers.total
+    per_balancer = None if discovery_bytes is None else discovery_bytes / total
     return Summary(
         scenario=record.scenario.name,
         seed=record.seed,
@@ -143,7 +148,7 @@
         change=change,
         hollow=hollow,
         real=real,
-        decisions=_decisions(record.hollow),
+        decisions=_decisions(record.hollow, roles.get(HOLLOW_ROLE)),
         tenants=_tenants(record),
         hollow_ready=_hollow_ready(record.hollow),
         real_ready=_ready(record.real_ready_ms, []),
@@ -178,15 +183,15 @@
 ) -> RequestFigures | None:
     if not measures:
         return None
-    asked = sum(measure.requests.asked for measure in measures)
+    carried = sum(measure.requests.asked - measure.requests.missed for measure in measures)
     tries = sum(measure.requests.tries for measure in measures)
     ended = {end: sum(measure.requests.ended.get(end, 0) for measure in measures) for end in ENDS}
     measured_s = max(measure.at_s for measure in measures)
     return RequestFigures(
         asked_per_s=record.scenario.requests_per_s * share,
-        carried_per_s=asked / measured_s,
+        carried_per_s=carried / measured_s,
         ended=ended,
-        tries_per_request=tries / max(1, asked),
+        tries_per_request=tries / max(1, carried),
         added=merge(measure.added for measure in measures),
         lag=merge(measure.lag for measure in measures),
     )
@@ -205,17 +210,19 @@
     return notes
 
 
-def _decisions(measures: list[HollowMeasure]) -> DecisionFigures | None:
-    asked = sum(measure.requests.asked for measure in measures)
-    if not asked:
+def _decisions(measures: list[HollowMeasure], role: RoleFigures | None) -> DecisionFigures | None:
+    carried = sum(measure.requests.asked - measure.requests.missed for measure in measures)
+    if not carried:
         return None
     balancer_seconds = sum(measure.balancers for measure in measures)
+    hosted = max(measure.balancers for measure in measures)  # by one process
     return DecisionFigures(
-        attempts_per_request=sum(measure.attempts for measure in measures) / asked,
-        cancels_per_request=sum(measure.cancels for measure in measures) / asked,
-        not_sent_per_request=sum(measure.not_sent for measure in measures) / asked,
-        cpu_us_per_request=sum(measure.decision_us for measure in measures) / asked,
+        attempts_per_request=sum(measure.attempts for measure in measures) / carried,
+        cancels_per_request=sum(measure.cancels for measure in measures) / carried,
+        not_sent_per_request=sum(measure.not_sent for measure in measures) / carried,
+        cpu_us_per_request=sum(measure.decision_us for measure in measures) / carried,
         log_bytes_per_s=sum(measure.log_bytes for measure in measures) / max(1, balancer_seconds),
+        resident_mb_per_balancer=None if role is None else role.resident_mb / max(1, hosted),
     )
 
 
@@ -268,14 +275,26 @@
 # ---- processes ----
 
 
-def _roles(measures: list[ProcessMeasure]) -> dict[str, RoleFigures]:
+def _roles(record: RunRecord) -> dict[str, RoleFigures]:
     by_role: dict[str, list[ProcessMeasure]] = defaultdict(list)
-    for measure in measures:
+    for measure in record.processes:
         by_role[measure.role].append(measure)
-    return {role: _role(own) for role, own in by_role.items()}
+    network = {
+        HOLLOW_ROLE: _hollow_bytes_per_s(record.hollow),
+        DISCOVERY_ROLE: discovery_bytes_per_s(record),
+    }
+    return {role: _role(own, network.get(role)) for role, own in by_role.items()}
+
+
+def _hollow_bytes_per_s(measures: list[HollowMeasure]) -> float | None:
+    """Of the batches between the workers and the photo servers; discovery counts its own."""
+    if not measures:
+        return None
+    moved = sum(measure.bytes_sent + measure.bytes_received for measure in measures)
+    return moved / max(measure.at_s for measure in measures)
 
 
-def _role(measures: list[ProcessMeasure]) -> RoleFigures:
+def _role(measures: list[ProcessMeasure], network_bytes_per_s: float | None) -> RoleFigures:
     return RoleFigures(
         processes=len({measure.index for measure in measures}),
         cpu_share=fmean(measure.cpu_share for measure in measures),
@@ -283,6 +302,7 @@
         resident_mb=fmean(measure.resident_mb for measure in measures),
         resident_mb_max=max(measure.resident_mb for measure in measures),
         log_bytes_per_s=fmean(measure.log_bytes_per_s for measure in measures),
+        network_bytes_per_s=network_bytes_per_s,
     )
 
 
