--- a/emulator/cli.py
+++ b/emulator/cli.py
@@ -9,6 +9,7 @@
 # Command name -> module that defines a click command named `command`.
 COMMAND_MODULES: dict[str, str] = {
     "slopes": "emulator.slopes.command",
+    "fleet": "emulator.fleet.command",
 }
 
 
