Meet the list reader that works in steps in the fleet emulator and its tests

Cause: lists and the configuration are read in steps, addresses are text, and a stand-in photo server's answer tells how long it held the request. Change: the one adapter of the discovery client and three tests go by these; the answer's time is checked too.

--- a/emulator/fleet/hollow_discovery.py
+++ b/emulator/fleet/hollow_discovery.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from dykeshift.interface import ListKind, ServerEntry
-from dykeshift.node.discovery import Discovery, Reader
-from dykeshift.node.driver import Listed
+from dykeshift.node.discovery import Discovery
+from dykeshift.node.listing import Listed, ListReader
 from emulator.fleet.contract import Address
 
 NO_STAND_IN = -1  # number of an entry that has no address, as it is gone
@@ -35,7 +35,7 @@
 
 
 def _number_of(listed: Listed) -> int:
-    host, _ = listed.address
+    host, _, _ = listed.address.rpartition(":")
     return server_number(host) if host else NO_STAND_IN
 
 
@@ -73,7 +73,7 @@
         self._client = _StoppableDiscovery(
             asyncio.get_running_loop(),
             (agent.host, agent.port),
-            Reader(zones, kinds),
+            ListReader(zones, kinds),
             self._applied,
             self._call_failed,
             pushed,
--- a/tests/emulator/test_standins.py
+++ b/tests/emulator/test_standins.py
@@ -15,8 +15,8 @@
 import uvloop
 
 from dykeshift.interface import ListKind, Outcome, ServerState
-from dykeshift.node.discovery import Discovery, Reader
-from dykeshift.node.driver import Listed
+from dykeshift.node.discovery import Discovery
+from dykeshift.node.listing import Listed, ListReader
 from emulator.fleet import timeline as events
 from emulator.fleet.contract import (
     AddressPlan,
@@ -283,7 +283,7 @@
         self.discovery = Discovery(
             asyncio.get_running_loop(),
             (agent.host, agent.port),
-            Reader(given.layout.zone_names, kinds),
+            ListReader(given.layout.zone_names, kinds),
             self.take,
             self.failures.append,
             True,
@@ -323,7 +323,8 @@
             told = Told(part, 20)
             whole = await told.heard(1)
             assert told.lists[0][0] is ListKind.FULL and len(whole) == 240
-            assert whole[5].address == tuple(msgspec.structs.astuple(part.fleet.config.addresses.server(5)))
+            server = part.fleet.config.addresses.server(5)
+            assert whole[5].address == f"{server.host}:{server.port}"
             (drained,) = await told.heard(2)
             assert drained.entry.id == whole[5].entry.id and drained.entry.state is ServerState.DRAINING
             assert clock.now_s() < 0.45
@@ -431,7 +432,9 @@
                 await asyncio.sleep(0.002)
             head, body = await ask(part, SERVER, request_target(20_000, 0), "X-Request-Id: r1")
             assert head.startswith("HTTP/1.1 200 ") and "X-Load: " in head
-            assert msgspec.json.decode(body) == {"served": "r1", "server": SERVER}
+            served = msgspec.json.decode(body)
+            assert served.pop("held_us") > 200_000
+            assert served == {"served": "r1", "server": SERVER}
             assert clock.now_s() > 0.2  # it waited behind the batch's attempt
             received = bytearray(await reader.read(4096))
             assert [(end.number, end.outcome) for end in results(received)] == [(7, "OK")]
--- a/tests/emulator/test_timeline.py
+++ b/tests/emulator/test_timeline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import time
 from collections import Counter
@@ -11,7 +12,7 @@
 import pytest
 
 from dykeshift.node import config
-from dykeshift.node.discovery import Reader
+from dykeshift.node.listing import ListReader
 from dykeshift.settings import parse_settings
 from emulator.fleet import timeline as events
 from emulator.fleet.contract import AddressPlan
@@ -110,15 +111,17 @@
     layout = build_layout(quick, 1)
     kinds = [kind.name for kind in quick.servers.kinds]
     known = msgspec.json.decode(msgspec.json.encode(known_list(layout, ADDRESSES, kinds)))
-    parsed = config.parse(node_config(quick, layout, ADDRESSES, 5, "5a", known))
+    parsed = config.read(json.dumps(node_config(quick, layout, ADDRESSES, 5, "5a", known)))
     assert parsed.settings == parse_settings(node_config(quick, layout, ADDRESSES, 5, "5a")["settings"])
     assert parsed.listen == ("127.66.0.6", 8082) and parsed.discovery == ("127.65.0.6", 8500)
     assert parsed.settings.me == 5 and parsed.settings.zone == layout.balancer_zones[5]
     assert parsed.settings.cold_share == quick.cold_start.from_share
     assert len(parsed.settings.shares) == quick.tenants.count
-    generation, is_whole, rows = Reader(parsed.zones, parsed.kinds).read(parsed.known)
-    assert (generation, is_whole, len(rows)) == (1, True, quick.servers.count)
-    assert rows[0].address == ("127.64.0.1", 8081)
+    assert parsed.known is not None
+    reader = ListReader(parsed.zones, parsed.kinds)
+    rows = [reader.convert(row) for row in parsed.known.servers]
+    assert (parsed.known.generation, parsed.known.whole, len(rows)) == (1, True, quick.servers.count)
+    assert rows[0].address == "127.64.0.1:8081"
     assert {row.entry.zone for row in rows} == set(range(7)) and {row.entry.kind for row in rows} == {0, 1}
 
 
