--- a/tests/emulator/test_fleet_hollow.py
+++ b/tests/emulator/test_fleet_hollow.py
@@ -12,11 +12,16 @@
 from emulator.fleet.contract import loopback
 from emulator.fleet.hollow import HollowAttempt
 from emulator.fleet.hollow_discovery import server_number
+from emulator.fleet.hollow_measuring import HollowMeter
 from emulator.fleet.latency import LatencyRecorder, merge
-from emulator.fleet.scenario import Scenario
+from emulator.fleet.quick_scenario import write_quick_scenario
+from emulator.fleet.scenario import Scenario, load_scenario
 from emulator.fleet.tenant_quota import TokenBucket
+from emulator.fleet.timeline import build_timeline
 from tests.emulator.fleet_fakes import MS, S, FakeEffects, listed, make_balancer, make_model, small_scenario
 
+SCENARIOS = Path(__file__).resolve().parents[2] / "emulator" / "scenarios"
+
 
 @pytest.fixture
 def scenario(tmp_path: Path) -> Scenario:
@@ -133,3 +138,18 @@
     assert summary.p50_us == pytest.approx(5000, rel=0.01)
     assert summary.p99_us == pytest.approx(9900, rel=0.01)
     assert recorders[0].take().count == 0
+
+
+@pytest.mark.parametrize("path", sorted(SCENARIOS.glob("*.toml")), ids=lambda path: path.stem)
+def test_each_scenario_can_be_made_short_and_small(path: Path, tmp_path: Path) -> None:
+    quick = write_quick_scenario(load_scenario(path), tmp_path / "quick.toml")
+    assert quick.duration_s <= 20 and quick.balancers.total <= 32 and quick.balancers.real <= 4
+    assert len(quick.events) == len(load_scenario(path).events)
+    assert build_timeline(quick, 1)
+
+
+def test_an_arrival_that_is_far_too_late_is_counted_and_not_made() -> None:
+    meter = HollowMeter(1)
+    assert meter.arrived(1 * MS) and meter.arrived(200 * MS) and not meter.arrived(300 * MS)
+    counts = meter.take(1.0, 0, 1, 0, (0, 0)).requests
+    assert (counts.asked, counts.missed) == (3, 1)
