Test a hollow balancer's backstops against a module that errs

Three changes to the code went unnoticed by its tests, as the decision module itself never gets there: a second good answer, a request that nobody answers, a server that is not on the list. A scripted module in its place now does.

--- a/tests/emulator/fleet_fakes.py
+++ b/tests/emulator/fleet_fakes.py
@@ -6,7 +6,16 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-from dykeshift.interface import ListKind, Outcome, ServerEntry, ServerState
+from dykeshift.interface import (
+    Action,
+    AttemptEnd,
+    ListKind,
+    Outcome,
+    Request,
+    Send,
+    ServerEntry,
+    ServerState,
+)
 from dykeshift.settings import parse_settings
 from emulator.fleet.client_model import ClientModel, ClientTry, TryEnd
 from emulator.fleet.hollow import HollowAttempt, HollowBalancer
@@ -171,6 +180,31 @@
         self.now = end
 
 
+class ScriptedModule:
+    """In place of the decision module: sends each request where it is told to, and does nothing else."""
+
+    def __init__(self, *targets: int) -> None:
+        self.targets = targets
+        self.ends: list[AttemptEnd] = []
+
+    def on_request(self, now: int, request: Request) -> list[Action]:
+        """One attempt at each target."""
+        return [Send(request.id, server, 0) for server in self.targets]
+
+    def on_attempt_end(self, now: int, end: AttemptEnd) -> list[Action]:
+        """Noted."""
+        self.ends.append(end)
+        return []
+
+    def on_client_gone(self, now: int, request_id: str) -> list[Action]:
+        """Nothing is done."""
+        return []
+
+    def on_timer(self, now: int, token: str) -> list[Action]:
+        """One that the decision module had set: nothing is done."""
+        return []
+
+
 def make_balancer(scenario: Scenario, effects: FakeEffects, servers: int = 12) -> HollowBalancer:
     """A started balancer with a list of ready servers."""
     layout = build_layout(scenario, 1)
--- a/tests/emulator/test_fleet_hollow.py
+++ b/tests/emulator/test_fleet_hollow.py
@@ -10,7 +10,7 @@
 from dykeshift.interface import ListKind, Outcome, ServerState
 from emulator.fleet.client_model import NS_PER_MS, RequestEnd, TryEnd
 from emulator.fleet.contract import loopback
-from emulator.fleet.hollow import HollowAttempt
+from emulator.fleet.hollow import HollowAttempt, HollowBalancer
 from emulator.fleet.hollow_discovery import server_number
 from emulator.fleet.hollow_measuring import HollowMeter
 from emulator.fleet.latency import LatencyRecorder, merge
@@ -18,7 +18,16 @@
 from emulator.fleet.scenario import Scenario, load_scenario
 from emulator.fleet.tenant_quota import TokenBucket
 from emulator.fleet.timeline import build_timeline
-from tests.emulator.fleet_fakes import MS, S, FakeEffects, listed, make_balancer, make_model, small_scenario
+from tests.emulator.fleet_fakes import (
+    MS,
+    S,
+    FakeEffects,
+    ScriptedModule,
+    listed,
+    make_balancer,
+    make_model,
+    small_scenario,
+)
 
 SCENARIOS = Path(__file__).resolve().parents[2] / "emulator" / "scenarios"
 
@@ -82,6 +91,50 @@
     assert all(attempt.server_id == 1000 + attempt.server for attempt in effects.sent)
 
 
+def script(monkeypatch: pytest.MonkeyPatch, balancer: HollowBalancer, *targets: int) -> ScriptedModule:
+    module = ScriptedModule(*targets)
+    monkeypatch.setattr(balancer, "_module", module)
+    return module
+
+
+def test_a_module_that_says_nothing_leaves_no_client_without_an_answer(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    effects = FakeEffects()
+    balancer = make_balancer(scenario, effects)
+    script(monkeypatch, balancer)
+    one = make_model(scenario).first_try(0, effects.now)
+    balancer.submit(effects.now, one)
+    effects.run_for(S)
+    assert [(answer.client_try, answer.end) for answer in effects.answers] == [(one, TryEnd.FAILED)]
+    assert effects.answers[0].at <= one.sent + one.patience_ns
+
+
+def test_only_the_first_good_answer_reaches_the_client(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    effects = FakeEffects()
+    balancer = make_balancer(scenario, effects)
+    module = script(monkeypatch, balancer, 1001, 1002)
+    balancer.submit(effects.now, make_model(scenario).first_try(0, effects.now))
+    effects.run_for(S)
+    assert [answer.end for answer in effects.answers] == [TryEnd.SERVED]
+    assert [(end.outcome, end.final) for end in module.ends] == [(Outcome.OK, True)] * 2
+
+
+def test_what_is_sent_to_a_server_not_on_the_list_ends_as_not_sent(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    effects = FakeEffects()
+    balancer = make_balancer(scenario, effects)
+    balancer.apply_list(effects.now, ListKind.DELTA, [listed(3, ServerState.DRAINING)])
+    module = script(monkeypatch, balancer, 1003, 4711)
+    balancer.submit(effects.now, make_model(scenario).first_try(0, effects.now))
+    effects.run_for(5 * MS)
+    assert not effects.sent
+    assert [(end.outcome, end.final) for end in module.ends] == [(Outcome.NOT_SENT, False)] * 2
+
+
 def test_a_stopped_balancer_returns_its_open_tries_and_stays_silent(scenario: Scenario) -> None:
     effects, model = FakeEffects(serve=lambda attempt: (50 * MS, Outcome.OK)), make_model(scenario)
     balancer = make_balancer(scenario, effects)
