--- a/tests/emulator/test_fleet_hollow.py
+++ b/tests/emulator/test_fleet_hollow.py
@@ -10,12 +10,26 @@
 from dykeshift.interface import ListKind, Outcome, ServerState
 from emulator.fleet.client_model import NS_PER_MS, RequestEnd, TryEnd
 from emulator.fleet.contract import loopback
-from emulator.fleet.hollow import HollowAttempt
+from emulator.fleet.hollow import HollowAttempt, HollowBalancer
 from emulator.fleet.hollow_discovery import server_number
+from emulator.fleet.hollow_measuring import HollowMeter
 from emulator.fleet.latency import LatencyRecorder, merge
-from emulator.fleet.scenario import Scenario
+from emulator.fleet.quick_scenario import write_quick_scenario
+from emulator.fleet.scenario import Scenario, load_scenario
 from emulator.fleet.tenant_quota import TokenBucket
-from tests.emulator.fleet_fakes import MS, S, FakeEffects, listed, make_balancer, make_model, small_scenario
+from emulator.fleet.timeline import build_timeline
+from tests.emulator.fleet_fakes import (
+    MS,
+    S,
+    FakeEffects,
+    ScriptedModule,
+    listed,
+    make_balancer,
+    make_model,
+    small_scenario,
+)
+
+SCENARIOS = Path(__file__).resolve().parents[2] / "emulator" / "scenarios"
 
 
 @pytest.fixture
@@ -77,6 +91,50 @@
     assert all(attempt.server_id == 1000 + attempt.server for attempt in effects.sent)
 
 
+def script(monkeypatch: pytest.MonkeyPatch, balancer: HollowBalancer, *targets: int) -> ScriptedModule:
+    module = ScriptedModule(*targets)
+    monkeypatch.setattr(balancer, "_module", module)
+    return module
+
+
+def test_a_module_that_says_nothing_leaves_no_client_without_an_answer(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    effects = FakeEffects()
+    balancer = make_balancer(scenario, effects)
+    script(monkeypatch, balancer)
+    one = make_model(scenario).first_try(0, effects.now)
+    balancer.submit(effects.now, one)
+    effects.run_for(S)
+    assert [(answer.client_try, answer.end) for answer in effects.answers] == [(one, TryEnd.FAILED)]
+    assert effects.answers[0].at <= one.sent + one.patience_ns
+
+
+def test_only_the_first_good_answer_reaches_the_client(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    effects = FakeEffects()
+    balancer = make_balancer(scenario, effects)
+    module = script(monkeypatch, balancer, 1001, 1002)
+    balancer.submit(effects.now, make_model(scenario).first_try(0, effects.now))
+    effects.run_for(S)
+    assert [answer.end for answer in effects.answers] == [TryEnd.SERVED]
+    assert [(end.outcome, end.final) for end in module.ends] == [(Outcome.OK, True)] * 2
+
+
+def test_what_is_sent_to_a_server_not_on_the_list_ends_as_not_sent(
+    scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    effects = FakeEffects()
+    balancer = make_balancer(scenario, effects)
+    balancer.apply_list(effects.now, ListKind.DELTA, [listed(3, ServerState.DRAINING)])
+    module = script(monkeypatch, balancer, 1003, 4711)
+    balancer.submit(effects.now, make_model(scenario).first_try(0, effects.now))
+    effects.run_for(5 * MS)
+    assert not effects.sent
+    assert [(end.outcome, end.final) for end in module.ends] == [(Outcome.NOT_SENT, False)] * 2
+
+
 def test_a_stopped_balancer_returns_its_open_tries_and_stays_silent(scenario: Scenario) -> None:
     effects, model = FakeEffects(serve=lambda attempt: (50 * MS, Outcome.OK)), make_model(scenario)
     balancer = make_balancer(scenario, effects)
@@ -133,3 +191,18 @@
     assert summary.p50_us == pytest.approx(5000, rel=0.01)
     assert summary.p99_us == pytest.approx(9900, rel=0.01)
     assert recorders[0].take().count == 0
+
+
+@pytest.mark.parametrize("path", sorted(SCENARIOS.glob("*.toml")), ids=lambda path: path.stem)
+def test_each_scenario_can_be_made_short_and_small(path: Path, tmp_path: Path) -> None:
+    quick = write_quick_scenario(load_scenario(path), tmp_path / "quick.toml")
+    assert quick.duration_s <= 20 and quick.balancers.total <= 32 and quick.balancers.real <= 4
+    assert len(quick.events) == len(load_scenario(path).events)
+    assert build_timeline(quick, 1)
+
+
+def test_an_arrival_that_is_far_too_late_is_counted_and_not_made() -> None:
+    meter = HollowMeter(1)
+    assert meter.arrived(1 * MS) and meter.arrived(200 * MS) and not meter.arrived(300 * MS)
+    counts = meter.take(1.0, 0, 1, 0, (0, 0)).requests
+    assert (counts.asked, counts.missed) == (3, 1)
