Check the time that a stand-in server's answer says it held the request

It still compares all else exactly, and bounds the new figure by the request's work and the time that has passed.

--- a/tests/emulator/test_standins.py
+++ b/tests/emulator/test_standins.py
@@ -431,8 +431,11 @@
                 await asyncio.sleep(0.002)
             head, body = await ask(part, SERVER, request_target(20_000, 0), "X-Request-Id: r1")
             assert head.startswith("HTTP/1.1 200 ") and "X-Load: " in head
-            assert msgspec.json.decode(body) == {"served": "r1", "server": SERVER}
+            answer = msgspec.json.decode(body)
+            held_s = answer.pop("held_us") / 1e6
+            assert answer == {"served": "r1", "server": SERVER}
             assert clock.now_s() > 0.2  # it waited behind the batch's attempt
+            assert 0.02 <= held_s < clock.now_s()  # its own work at the least
             received = bytearray(await reader.read(4096))
             assert [(end.number, end.outcome) for end in results(received)] == [(7, "OK")]
             assert (await ask(part, SERVER, "/api"))[0].startswith("HTTP/1.1 404 ")
