Hold tenants' names as one block of bytes, and equal shares once

A dict of names to numbers and one float for each share took some 1.9 MB at 15,000 tenants. Names are sorted in one block and found by binary search; equal shares are one object.

--- a/dykeshift/node/config.py
+++ b/dykeshift/node/config.py
@@ -11,6 +11,7 @@
 from dykeshift.node.address import Address, read_address
 from dykeshift.node.json_cursor import JsonCursor
 from dykeshift.node.listing import Listing, Row, read_rows
+from dykeshift.node.tenants import TenantTable
 from dykeshift.settings import Malformed, SettingsError, need, parse_settings
 
 log = logging.getLogger(__name__)
@@ -34,7 +35,7 @@
     settings: Settings
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
-    tenants: dict[bytes, int]  # their numbers, by name
+    tenants: TenantTable
     keepalive: float  # seconds after which an upstream closes an idle connection
     connect_timeout: float  # seconds
     drain_grace: float  # seconds after a drain is told in which sends to that server have to stop
@@ -44,16 +45,18 @@
 class Tenants:
     """In the settings' order. As the objects of their JSON they would take several times the memory."""
 
-    numbers: dict[bytes, int] = field(default_factory=dict)  # by name
+    names: list[bytes] = field(default_factory=list)
     shares: list[float] = field(default_factory=list)
+    held: dict[float, float] = field(default_factory=dict)  # one object for all shares of one size
 
     def add(self, members: list[tuple[str, Any]]) -> dict[str, Any] | None:
         """Called by the JSON decoder for each object; what is no tenant remains an object."""
         fields = dict(members)
         if "name" not in fields or "quotaPerS" not in fields:
             return fields
-        self.numbers[str(fields["name"]).encode()] = len(self.shares)
-        self.shares.append(float(fields["quotaPerS"]))
+        share = float(fields["quotaPerS"])
+        self.names.append(str(fields["name"]).encode())
+        self.shares.append(self.held.setdefault(share, share))
         return None
 
 
@@ -159,7 +162,7 @@
         settings=parse_settings(given, tuple(tenants.shares)),
         zones=tuple(map(str, given.get("failureDomains", ()))),
         kinds=tuple(map(str, given.get("kinds", ()))),
-        tenants=tenants.numbers,
+        tenants=TenantTable.of(tenants.names),
         keepalive=float(need(limits, "keepaliveNs", "bounds.")) / 1e9,
         connect_timeout=float(need(limits, "connectTimeoutNs", "bounds.")) / 1e9,
         drain_grace=float(need(rules, "drainGraceNs", "obligations.")) / 1e9,
--- a/dykeshift/node/requests.py
+++ b/dykeshift/node/requests.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from dykeshift.interface import Idempotency, RequestClass
+from dykeshift.node.tenants import TenantTable
 
 _ID = re.compile(rb"[!-~]{1,128}\Z")
 _NUMBER = re.compile(rb"[0-9]{1,9}\Z")
@@ -56,7 +57,7 @@
 class Reader:
     """Knows classes and tenants; turns a whole HTTP message into a request or raises BadRequest."""
 
-    def __init__(self, classes: tuple[RequestClass, ...], tenants: dict[bytes, int]) -> None:
+    def __init__(self, classes: tuple[RequestClass, ...], tenants: TenantTable) -> None:
         self.classes = classes
         self.tenants = tenants
         self.numbers: dict[bytes, int] = {c.name.encode(): n for n, c in enumerate(classes)}
@@ -89,7 +90,7 @@
             unsafe=klass.idempotency is Idempotency.UNSAFE,
             patience=min(patience, klass.deadline),
             retry=headers.get(b"x-retry") == b"1",
-            tenant=self.tenants.get(headers.get(b"x-tenant", b""), len(self.tenants)),  # unknown: no share
+            tenant=self.tenants.number(headers.get(b"x-tenant", b"")),
             cost_hint=_number(headers, b"x-cost-hint") * 1000 if b"x-cost-hint" in headers else 0,
             head=head + b"X-Deadline-Ms: ",
             body=bytes(body),
