Start with an allocator that gives back what the reading of a list took

Once a large block has been freed, the allocator's thresholds adapt themselves: the text of a list then lies in the heap, and what lies behind it keeps it resident. Thresholds of their own, on the run line, end that. The slopes rig started the program past that line; it now runs the line itself, so that what is measured is what runs.

--- a/tests/emulator/test_slopes.py
+++ b/tests/emulator/test_slopes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from pathlib import Path
 
 import msgspec
@@ -21,6 +22,7 @@
 from emulator.slopes import campaign as campaign_module
 from emulator.slopes import command as command_module
 from emulator.slopes import discovery_role, module_role, server_role
+from emulator.slopes.balancer_process import DEPLOY_FILE, DEPLOYED_PYTHON, run_command
 from emulator.slopes.bars import BARS, Bar, judge
 from emulator.slopes.campaign import Campaign, Plan
 from emulator.slopes.counting import count_lines, held
@@ -233,3 +235,11 @@
     assert not any(child.is_running() for child in children)
     rows = [json.loads(line) for line in (tmp_path / ROWS_FILE).read_text().splitlines()]
     assert {row["role"] for row in rows} == {"discovery"}
+
+
+def test_the_program_is_started_by_the_deployments_own_line() -> None:
+    """With the environment that it sets, so that what is measured is what runs."""
+    line = tomllib.loads(DEPLOY_FILE.read_text())["run"]
+    before, _, after = line.partition(DEPLOYED_PYTHON)
+    assert run_command() == f"{before}{sys.executable}{after}"
+    assert "MALLOC_" in before and after == " -m dykeshift.node"
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -291,6 +291,30 @@
     run(main())
 
 
+GIVES_BACK = """
+def resident():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1])
+
+size = 4 * 1024 * 1024  # the longest list
+text = b"x" * size
+del text  # an allocator that adapts itself to this keeps what follows
+before = resident()
+text = b"x" * size
+behind = bytes(3000)
+del text
+print((resident() - before) * 4096 < size // 2)
+"""
+
+
+def test_the_memory_of_a_list_that_was_read_is_given_back() -> None:
+    """Started as the deploy file starts it, the program is not as large as its longest list for ever."""
+    command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    command = command.replace(".venv/bin/python -m dykeshift.node", f"{sys.executable} -c '{GIVES_BACK}'")
+    done = subprocess.run(["/bin/sh", "-c", command], capture_output=True, text=True, timeout=60)
+    assert done.stdout == "True\n"
+
+
 def test_a_sighup_while_the_program_loads_does_not_end_it(tmp_path: Path) -> None:
     """As the deploy file starts it; the signal comes as soon as the interpreter runs."""
 
