Give up a pushed list after silence, not while it is still arriving

An agent was given 0.4 of the drain grace in all for an answer that it need not hold, 60 ms at a grace of 150 ms. A list of 1 MB from a busy machine takes longer: the call was given up, the next one asked for the whole list again, and so on without end; a program without a known list was never ready. At 6,400 servers on a busy machine one start of three lost its first call so.

Silence counts from the last byte received, bytes that a busy event loop has not read yet are none, and an answer may take 2 s in all. Tests with an agent that sends 1 MB in parts for twice the patience, one that stops halfway, one that never ends, and bytes that wait in the socket; with patience in all, or without the look at the socket, they fail.

--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -40,6 +40,7 @@
         "exchange",
         "answer",
         "idle_since",
+        "heard",
         "unwritten",
         "on_idle",
         "on_lost",
@@ -64,6 +65,7 @@
         self.exchange: Exchange | None = None
         self.answer: Answer | None = None
         self.idle_since = monotonic()  # the loop's clock stands still while the loop is busy
+        self.heard = self.idle_since  # when it was last written to or a byte came
         self.unwritten = self.stray = self.to_end = False
         self.reusable, self.used = True, False
 
@@ -77,11 +79,16 @@
         """
         if self.transport is None or self.transport.is_closing() or self.stray:
             return False
-        return not has_input(self.transport.get_extra_info("socket"))
+        return not self.unread()
+
+    def unread(self) -> bool:
+        """Whether bytes or a close have arrived that the event loop has not come to yet."""
+        return self.transport is not None and has_input(self.transport.get_extra_info("socket"))
 
     def send(self, data: bytes, exchange: Exchange) -> None:
         assert self.transport is not None and self.exchange is None
         self.exchange, self.answer, self.reusable, self.fed = exchange, None, False, 0
+        self.heard = monotonic()
         self.transport.write(data)
 
     def close(self) -> None:
@@ -106,6 +113,7 @@
     def data_received(self, data: bytes) -> None:
         if self.parser is None:
             return
+        self.heard = monotonic()
         sound = self.exchange is not None
         if not sound and self.used:
             log.warning(
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -25,6 +25,7 @@
 # Of the drain grace, for an agent on this machine: it answers a call that it need not hold at once, or is
 # silent, and is asked again at no cost. Both together leave time to stop sending.
 PUSH_GRACE, PUSH_RETRY = 0.4, 0.2
+PUSH_ANSWER = 2.0  # seconds: the longest that its answer may take in all while bytes of it go on coming
 
 Apply = Callable[[ListKind, list[Listed]], bool]
 
@@ -136,12 +137,10 @@
         Where lists are pushed, an agent that was lost is asked for what it has until it answers: what
         it hears once it is back counts as told at once, and a held call may be lost on it.
         """
-        path, hold, grace = "/v1/endpoints", 0, GRACE
+        path, hold = "/v1/endpoints", 0
         if self.generation is not None:
             hold = 0 if self.pushed and self.lost else HOLD_MS
             path += f"?from={self.generation}&hold_ms={hold}"
-        if self.pushed and not hold:
-            grace = PUSH_GRACE * self.drain_grace
         future: asyncio.Future[Answer | None] = self.loop.create_future()
 
         def done(answer: Answer | None) -> None:
@@ -150,9 +149,31 @@
 
         request = f"GET {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n"
         connection.send(request.encode(), Call(done))
-        async with asyncio.timeout(hold / 1000 + grace):
+        if self.pushed and not hold:
+            return await self._while_heard(connection, future)
+        async with asyncio.timeout(hold / 1000 + GRACE):
             return await future
 
+    async def _while_heard(
+        self, connection: Connection, future: asyncio.Future[Answer | None]
+    ) -> Answer | None:
+        """What the agent answers, unless it falls silent first.
+
+        Protects against asking for the same long list again and again: it may take longer to arrive than
+        silence is borne for, and bytes that wait for a busy event loop are no silence.
+        """
+        patience = PUSH_GRACE * self.drain_grace
+        async with asyncio.timeout(PUSH_ANSWER):
+            while not future.done():
+                left = connection.heard + patience - time.monotonic()
+                if left > 0:
+                    await asyncio.wait([future], timeout=left)
+                elif connection.unread():
+                    await asyncio.sleep(0)
+                else:
+                    raise TimeoutError
+            return future.result()
+
     def _found(self) -> None:
         if self.lost:
             log.info("the watch is back")
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -5,14 +5,18 @@
 import asyncio
 import json
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from dykeshift.interface import Action, ListKind, ServerList, ServerState
+from dykeshift.node import discovery as discovery_module
+from dykeshift.node.connection import Connection
 from dykeshift.node.discovery import GRACE, HOLD_MS, PUSH_GRACE, PUSH_RETRY
 from dykeshift.node.listing import ListReader, number_of, read_row
 from tests.node.stubs import (
+    Handler,
     Message,
     Node,
     Registry,
@@ -257,6 +261,120 @@
     run(main())
 
 
+def arriving_slowly(body: bytes, parts: int, go_on: Callable[[int], Awaitable[None]]) -> Handler:
+    """Answers each call in parts; `go_on` is waited for behind each, called with its number."""
+
+    async def handle(_: Stub, __: Message, writer: asyncio.StreamWriter) -> None:
+        data = answer(body)
+        size = -(-len(data) // parts)
+        for number in range(parts):
+            writer.write(data[number * size : (number + 1) * size])
+            await writer.drain()
+            await go_on(number)
+
+    return handle
+
+
+def paths_of(agent: Stub) -> list[str]:
+    return [message.start.split()[1] for message in agent.seen]
+
+
+def pushed_with_drain_grace(seconds: float) -> dict[str, Any]:
+    changed = settings(discovery="push")
+    changed["obligations"]["drainGraceNs"] = int(seconds * 1e9)
+    return changed
+
+
+def test_a_list_that_arrives_for_longer_than_silence_is_borne_is_not_asked_for_again() -> None:
+    grace, parts = 1.0, 30
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        rows = [instance(f"l{n}", ("127.0.0.1", 9), "leaving") for n in range(7000)]
+        whole = json.dumps(listing(7, True, instance("s0", stub.address), *rows)).encode()
+        assert len(whole) > 1_000_000
+
+        async def go_on(_: int) -> None:
+            await asyncio.sleep(2 * PUSH_GRACE * grace / parts)  # a small part of what is borne
+
+        agent = await Stub(arriving_slowly(whole, parts, go_on)).start()
+        async with node(
+            told=False, settings=pushed_with_drain_grace(grace), discovery="%s:%d" % agent.address
+        ) as balancer:
+            await until(lambda: len(agent.seen) > 1)
+            first, second = paths_of(agent)[:2]
+            assert first == "/v1/endpoints" and second.startswith("/v1/endpoints?from=7&")
+            assert balancer.front.driver.pool.ready() == {number_of("s0")}
+            assert (await balancer.ask(request())).body == b"done"
+
+    run(main())
+
+
+def test_bytes_that_a_busy_loop_has_not_read_yet_are_no_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The last part of the answer is in the socket by the time at which the rest counts as silence."""
+    looks: list[bool] = []
+    look = Connection.unread
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        whole = json.dumps(listing(7, True, instance("s0", stub.address))).encode()
+        last = asyncio.Event()
+
+        async def go_on(number: int) -> None:
+            if number == 0:
+                await last.wait()
+
+        def look_after_the_last_part_came(connection: Connection) -> bool:
+            if connection.exchange is None:
+                return look(connection)
+            last.set()
+            looks.append(True)
+            return len(looks) < 1000  # until it is read, and no longer than that takes
+
+        monkeypatch.setattr(Connection, "unread", look_after_the_last_part_came)
+        agent = await Stub(arriving_slowly(whole, 2, go_on)).start()
+        async with node(
+            told=False, settings=pushed_with_drain_grace(0.15), discovery="%s:%d" % agent.address
+        ) as balancer:
+            assert balancer.front.driver.pool.ready() == {number_of("s0")}
+            assert paths_of(agent)[:1] == ["/v1/endpoints"] and looks
+
+    run(main())
+
+
+@pytest.mark.parametrize("goes_on", [False, True], ids=["silent", "without end"])
+def test_an_answer_that_does_not_become_whole_is_given_up(
+    goes_on: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Silent behind its first half, for as long as silence is borne; one byte after the other, in all."""
+    if goes_on:
+        monkeypatch.setattr(discovery_module, "PUSH_ANSWER", 0.1)
+
+    async def main() -> None:
+        stub = await Stub(says(answer())).start()
+        whole = json.dumps(listing(7, True, instance("s0", stub.address))).encode()
+        calls = 0
+
+        async def go_on(number: int) -> None:
+            nonlocal calls
+            calls += number == 0
+            if calls == 1:
+                await asyncio.sleep(0.01 if goes_on else 3600)
+
+        agent = await Stub(arriving_slowly(whole, 100 if goes_on else 2, go_on)).start()
+        async with node(
+            told=False,
+            settings=pushed_with_drain_grace(60 if goes_on else 0.15),
+            discovery="%s:%d" % agent.address,
+        ) as balancer:
+            if goes_on:  # the next call would come only after a part of the drain grace
+                balancer.front.driver.watch()
+            await until(lambda: balancer.front.driver.pool.ready() == {number_of("s0")})
+            assert paths_of(agent)[:2] == ["/v1/endpoints"] * 2
+
+    run(main())
+
+
 def test_a_watch_that_falls_silent_is_begun_anew_before_the_list_is_old() -> None:
     """A watch was waited for through 22 s, while servers went that the list still showed."""
 
