Keep the objects of the list held for what a newer list does not change

A start reads the list twice, known and told, and each whole list later was a third one: what is freed of the old one stays resident. A row that says what is held already takes over the held object; a row of the known list is let go as it is converted; servers of equal weight share it.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -51,6 +51,7 @@
         driver.discovery_failed,
         not given.settings.ask_discovery,
         given.drain_grace,
+        lambda number: pool.listed.get(number),
     )
     front = Front(loop, driver, requests.Reader(given.settings.classes, given.tenants), given.connections)
     stop = asyncio.Event()
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -11,7 +11,7 @@
 from dykeshift.interface import ListKind
 from dykeshift.node.address import Address
 from dykeshift.node.connection import Answer, Connection
-from dykeshift.node.listing import Listed, Listing, ListReader, Row, decode
+from dykeshift.node.listing import Held, Listed, Listing, ListReader, Row, decode, nothing_held
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +59,7 @@
         failed: Callable[[ListKind], None],
         pushed: bool,
         drain_grace: float,
+        held: Held = nothing_held,
     ) -> None:
         self.loop = loop
         self.pushed = pushed
@@ -67,6 +68,7 @@
         self.reader = reader
         self.apply = apply
         self.failed = failed
+        self.held = held
         self.listed = False  # there are servers from an earlier list, to which requests go
         self.generation: int | None = None  # None: no list yet, so the whole one is asked for
         self.lost = False  # the last call failed: the next one is not held
@@ -74,7 +76,7 @@
         self.task: asyncio.Task[None] | None = None
 
     def take_known(self, known: Listing[Row] | None) -> None:
-        """The list from before the start: it may be old, and it may be unsound or missing.
+        """The list from before the start, used up by this: it may be old, and it may be unsound or missing.
 
         It serves until discovery answers. Where lists are pushed, the whole list is asked for all the
         same: its generation may be another discovery's, and changes from there on would hide what changed
@@ -84,7 +86,11 @@
         if known is None:
             return
         self.listed = bool(known.servers)
-        self.apply(ListKind.CACHED, [self.reader.convert(row) for row in known.servers])
+        rows, servers = known.servers, list[Listed]()
+        rows.reverse()
+        while rows:  # each is let go as it is converted: no list is held whole in both forms
+            servers.append(self.reader.convert(rows.pop()))
+        self.apply(ListKind.CACHED, servers)
         if not self.pushed:
             self.generation = known.generation
 
@@ -203,7 +209,7 @@
             return False
         turns = READ_SHARE * self.drain_grace if self.listed else math.inf
         try:
-            listing = await self.reader.read(decode(answer.body), time.monotonic() + turns)
+            listing = await self.reader.read(decode(answer.body), time.monotonic() + turns, self.held)
         except ValueError as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
--- a/dykeshift/node/listing.py
+++ b/dykeshift/node/listing.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from dykeshift.interface import ServerEntry, ServerState
@@ -52,6 +53,14 @@
     servers: list[Entry]
 
 
+Held = Callable[[int], Listed | None]  # what an earlier list said of the server of this number
+
+
+def nothing_held(_: int) -> Listed | None:
+    """No earlier list."""
+    return None
+
+
 def number_of(instance: str) -> int:
     """The same number for the same id, at every start and with nothing kept for those long gone."""
     return int.from_bytes(hashlib.blake2b(instance.encode(), digest_size=8).digest(), "big")
@@ -62,6 +71,12 @@
     return body.decode(json.detect_encoding(body), "surrogatepass")
 
 
+@lru_cache(maxsize=64)
+def shared(weight: float) -> float:
+    """One object for all servers of this weight; a fleet has few of them."""
+    return weight
+
+
 def read_row(raw: Any) -> Row:
     state = _STATES.get(raw["lifecycle"])
     if state is None:
@@ -80,7 +95,7 @@
         sys.intern(str(raw.get("machineType"))),
         int(raw.get("cell", 0)),
         state,
-        weight,
+        shared(weight),
         max(0, int(raw.get("startedAtMs", 0))),
     )
 
@@ -153,14 +168,24 @@
         )
         return Listed(entry, row.address)
 
-    async def read(self, text: str, turns_until: float = math.inf) -> Listing[Listed]:
+    async def read(
+        self, text: str, turns_until: float = math.inf, held: Held = nothing_held
+    ) -> Listing[Listed]:
         """Read a list with turns of the event loop in between; ValueError if any part is unsound.
 
+        What is unchanged since an earlier list is the object that is `held`, so that a list takes memory
+        only for what is new in it.
+
         From `turns_until` (time.monotonic) on there are no more turns: nothing goes out any more by the
         old list. Cancelled, it has had no effect.
         """
+
+        def convert(row: Row) -> Listed:
+            new, old = self.convert(row), held(row.number)
+            return old if old is not None and old == new else new
+
         cursor = JsonCursor(text)
-        steps = listing_steps(cursor, self.convert)
+        steps = listing_steps(cursor, convert)
         while True:
             try:
                 next(steps)
--- a/tests/node/test_listing.py
+++ b/tests/node/test_listing.py
@@ -299,6 +299,31 @@
     run(main())
 
 
+def test_servers_of_equal_weight_share_it() -> None:
+    text = json.dumps(large(10))
+    rows = read_rows(JsonCursor(text)).servers + read_rows(JsonCursor(text)).servers
+    assert len({id(row.weight) for row in rows}) == 1
+
+
+def test_a_list_adds_objects_for_its_changed_servers_alone() -> None:
+    """The list known from before the start, the agent's whole one, and a whole one again."""
+
+    async def main() -> None:
+        first, second = large(100, generation=7), large(101, generation=8)
+        second["instances"][5]["lifecycle"] = "leaving"
+        async with node(told=False, settings=settings(discovery="push"), known=first) as balancer:
+            pool = balancer.front.driver.pool
+            await until(lambda: len(pool.listed) == 100)
+            held = {number: id(one) for number, one in pool.listed.items()}
+            balancer.registry.put(second)
+            balancer.registry.put(second)  # the first may go out on a call that was given up
+            await until(lambda: len(pool.listed) == 101)
+            changed = {number for number, one in pool.listed.items() if held.get(number) != id(one)}
+            assert changed == {number_of("l5"), number_of("l100")}
+
+    run(main())
+
+
 def test_the_pool_keeps_connection_state_for_used_servers_alone() -> None:
     async def main() -> None:
         stub = await Stub(says(answer())).start()
