--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -11,7 +11,7 @@
 from dykeshift.interface import ListKind
 from dykeshift.node.address import Address
 from dykeshift.node.connection import Answer, Connection
-from dykeshift.node.listing import Listed, Listing, ListReader, Row, decode
+from dykeshift.node.listing import Held, Listed, Listing, ListReader, Row, decode, nothing_held
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +25,7 @@
 # Of the drain grace, for an agent on this machine: it answers a call that it need not hold at once, or is
 # silent, and is asked again at no cost. Both together leave time to stop sending.
 PUSH_GRACE, PUSH_RETRY = 0.4, 0.2
+PUSH_ANSWER = 2.0  # seconds: the longest that its answer may take in all while bytes of it go on coming
 
 Apply = Callable[[ListKind, list[Listed]], bool]
 
@@ -58,6 +59,7 @@
         failed: Callable[[ListKind], None],
         pushed: bool,
         drain_grace: float,
+        held: Held = nothing_held,
     ) -> None:
         self.loop = loop
         self.pushed = pushed
@@ -66,6 +68,7 @@
         self.reader = reader
         self.apply = apply
         self.failed = failed
+        self.held = held
         self.listed = False  # there are servers from an earlier list, to which requests go
         self.generation: int | None = None  # None: no list yet, so the whole one is asked for
         self.lost = False  # the last call failed: the next one is not held
@@ -73,7 +76,7 @@
         self.task: asyncio.Task[None] | None = None
 
     def take_known(self, known: Listing[Row] | None) -> None:
-        """The list from before the start: it may be old, and it may be unsound or missing.
+        """The list from before the start, used up by this: it may be old, and it may be unsound or missing.
 
         It serves until discovery answers. Where lists are pushed, the whole list is asked for all the
         same: its generation may be another discovery's, and changes from there on would hide what changed
@@ -83,7 +86,11 @@
         if known is None:
             return
         self.listed = bool(known.servers)
-        self.apply(ListKind.CACHED, [self.reader.convert(row) for row in known.servers])
+        rows, servers = known.servers, list[Listed]()
+        rows.reverse()
+        while rows:  # each is let go as it is converted: no list is held whole in both forms
+            servers.append(self.reader.convert(rows.pop()))
+        self.apply(ListKind.CACHED, servers)
         if not self.pushed:
             self.generation = known.generation
 
@@ -136,12 +143,10 @@
         Where lists are pushed, an agent that was lost is asked for what it has until it answers: what
         it hears once it is back counts as told at once, and a held call may be lost on it.
         """
-        path, hold, grace = "/v1/endpoints", 0, GRACE
+        path, hold = "/v1/endpoints", 0
         if self.generation is not None:
             hold = 0 if self.pushed and self.lost else HOLD_MS
             path += f"?from={self.generation}&hold_ms={hold}"
-        if self.pushed and not hold:
-            grace = PUSH_GRACE * self.drain_grace
         future: asyncio.Future[Answer | None] = self.loop.create_future()
 
         def done(answer: Answer | None) -> None:
@@ -150,9 +155,31 @@
 
         request = f"GET {path} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n"
         connection.send(request.encode(), Call(done))
-        async with asyncio.timeout(hold / 1000 + grace):
+        if self.pushed and not hold:
+            return await self._while_heard(connection, future)
+        async with asyncio.timeout(hold / 1000 + GRACE):
             return await future
 
+    async def _while_heard(
+        self, connection: Connection, future: asyncio.Future[Answer | None]
+    ) -> Answer | None:
+        """What the agent answers, unless it falls silent first.
+
+        Protects against asking for the same long list again and again: it may take longer to arrive than
+        silence is borne for, and bytes that wait for a busy event loop are no silence.
+        """
+        patience = PUSH_GRACE * self.drain_grace
+        async with asyncio.timeout(PUSH_ANSWER):
+            while not future.done():
+                left = connection.heard + patience - time.monotonic()
+                if left > 0:
+                    await asyncio.wait([future], timeout=left)
+                elif connection.unread():
+                    await asyncio.sleep(0)
+                else:
+                    raise TimeoutError
+            return future.result()
+
     def _found(self) -> None:
         if self.lost:
             log.info("the watch is back")
@@ -182,7 +209,7 @@
             return False
         turns = READ_SHARE * self.drain_grace if self.listed else math.inf
         try:
-            listing = await self.reader.read(decode(answer.body), time.monotonic() + turns)
+            listing = await self.reader.read(decode(answer.body), time.monotonic() + turns, self.held)
         except ValueError as exc:
             log.warning("an update from discovery is dropped: %s", exc)
             return False
