Ask for a share of a scenario's traffic, and start real balancers by the run line everywhere

Cause: eight cores carried 3,640 of 6,376 hollow requests a second at 420 balancers before 6,400 servers, with other work beside them, so the target's 26,000 are out of one machine's reach; and the fleet's real balancers ran without the environment that the deploy file's run line sets. Both commands start the run line.

--- a/emulator/fleet/command.py
+++ b/emulator/fleet/command.py
@@ -14,7 +14,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
 from emulator.errors import BadInputError, BarFailedError
-from emulator.fleet.quick_scenario import write_quick_scenario
+from emulator.fleet.derived_scenario import write_quick_scenario, write_traffic_share
 from emulator.fleet.report import print_summary, write_report
 from emulator.fleet.run_record import DeadChild, RunRecord
 from emulator.fleet.scenario import Scenario, load_scenario
@@ -34,7 +34,7 @@
 Examples:
   python -m emulator fleet emulator/scenarios/target.toml --quick
   python -m emulator fleet emulator/scenarios/target.toml --seed 7 --out emulator-out/seven
-  python -m emulator fleet emulator/scenarios/target.toml --no-bars
+  python -m emulator fleet emulator/scenarios/target.toml --traffic 0.25 --no-bars
 """
 
 
@@ -52,6 +52,12 @@
 @click.command("fleet", cls=OneLineCommand, help=HELP, short_help="Run a whole fleet on loopback.")
 @click.argument("scenario_path", metavar="SCENARIO", type=click.Path(path_type=Path))
 @click.option("--quick", is_flag=True, help="Make the scenario short and small: under a minute.")
+@click.option(
+    "--traffic",
+    type=click.FloatRange(0.0, 1.0, min_open=True),
+    default=1.0,
+    help="Share of the scenario's requests to make: 8 cores don't carry all of the target's.",
+)
 @click.option("--seed", type=click.IntRange(min=0), help="Seed of all events; default: the scenario's.")
 @click.option(
     "--out",
@@ -59,7 +65,9 @@
     help="Folder for the results; default: emulator-out/<name>-<utc time>.",
 )
 @click.option("--bars/--no-bars", default=True, help="Fail if a figure misses its bar; default: on.")
-def command(scenario_path: Path, quick: bool, seed: int | None, out: Path | None, bars: bool) -> None:
+def command(
+    scenario_path: Path, quick: bool, traffic: float, seed: int | None, out: Path | None, bars: bool
+) -> None:
     """See HELP."""
     scenario = load_scenario(scenario_path)
     folder = _make_folder(out, scenario)
@@ -68,6 +76,8 @@
         scenario = write_quick_scenario(scenario, path)
     else:
         shutil.copyfile(scenario_path, path)
+    if traffic < 1.0:
+        scenario = write_traffic_share(scenario, traffic, path)
     record = RunRecord(scenario, scenario.seed if seed is None else seed, folder)
     with _show_progress(scenario) as progress:
         asyncio.run(Supervisor(path, scenario, record, progress).run())
--- a/emulator/fleet/real_balancers.py
+++ b/emulator/fleet/real_balancers.py
@@ -7,13 +7,13 @@
 import json
 import os
 import signal
-import sys
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
 
+from emulator.deployment import run_command
 from emulator.fleet.contract import Address, AddressPlan
 from emulator.fleet.layout import Layout
 from emulator.fleet.process_logs import ProcessLog
@@ -89,9 +89,9 @@
         self.ending = False
         with self.log.open() as log_file:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "dykeshift.node",
+                "/bin/sh",
+                "-c",
+                run_command(),
                 cwd=REPOSITORY,
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
--- a/emulator/slopes/balancer_process.py
+++ b/emulator/slopes/balancer_process.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import os
-import shlex
 import socket
-import sys
 import tempfile
-import tomllib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -17,13 +14,12 @@
 import msgspec
 import psutil
 
+from emulator.deployment import run_command
 from emulator.slopes.client import Address, Pinger
 from emulator.slopes.standins import LOCALHOST
 
 PROJECT = Path(__file__).resolve().parents[2]
 READY_SECONDS = 40.0  # until a balancer has to be ready
-DEPLOY_FILE = PROJECT / "deploy" / "balancer.toml"
-DEPLOYED_PYTHON = ".venv/bin/python"
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
 
@@ -90,14 +86,6 @@
         await self.process.wait()
 
 
-def run_command() -> str:
-    """The deployment's own command, which sets the program's environment; run by this interpreter."""
-    command: str = tomllib.loads(DEPLOY_FILE.read_text())["run"]
-    if DEPLOYED_PYTHON not in command:
-        raise RigError(f"the run line of {DEPLOY_FILE.name} does not start {DEPLOYED_PYTHON}")
-    return command.replace(DEPLOYED_PYTHON, shlex.quote(sys.executable))
-
-
 def free_port() -> int:
     """A port that was free on loopback a moment ago."""
     with socket.socket() as probe:
--- a/tests/emulator/test_fleet_hollow.py
+++ b/tests/emulator/test_fleet_hollow.py
@@ -14,7 +14,7 @@
 from emulator.fleet.hollow_discovery import server_number
 from emulator.fleet.hollow_measuring import HollowMeter
 from emulator.fleet.latency import LatencyRecorder, merge
-from emulator.fleet.quick_scenario import write_quick_scenario
+from emulator.fleet.derived_scenario import write_quick_scenario
 from emulator.fleet.scenario import Scenario, load_scenario
 from emulator.fleet.tenant_quota import TokenBucket
 from emulator.fleet.timeline import build_timeline
--- a/tests/emulator/test_scenario.py
+++ b/tests/emulator/test_scenario.py
@@ -7,6 +7,7 @@
 import pytest
 
 from emulator.errors import BadInputError
+from emulator.fleet.derived_scenario import write_traffic_share
 from emulator.fleet.scenario import load_scenario
 
 SCENARIOS = Path(__file__).parents[2] / "emulator" / "scenarios"
@@ -119,3 +120,10 @@
 )
 def test_events_must_fit_into_the_scenario(tmp_path: Path, event: dict[str, object], key: str) -> None:
     assert fault(tmp_path, with_event(**event)).startswith(f"{key}: ")
+
+
+def test_a_share_of_the_traffic_changes_nothing_else(tmp_path: Path) -> None:
+    target = load_scenario(SCENARIOS / "target.toml")
+    quarter = write_traffic_share(target, 0.25, tmp_path / "quarter.toml")
+    assert quarter.requests_per_s == 6500
+    assert quarter.model_copy(update={"requests_per_s": 26000.0}) == target
--- a/tests/emulator/test_slopes.py
+++ b/tests/emulator/test_slopes.py
@@ -19,10 +19,10 @@
 from click.testing import CliRunner
 
 from emulator.cli import main
+from emulator.deployment import DEPLOY_FILE, DEPLOYED_PYTHON, run_command
 from emulator.slopes import campaign as campaign_module
 from emulator.slopes import command as command_module
 from emulator.slopes import discovery_role, module_role, server_role
-from emulator.slopes.balancer_process import DEPLOY_FILE, DEPLOYED_PYTHON, run_command
 from emulator.slopes.bars import BARS, Bar, judge
 from emulator.slopes.campaign import Campaign, Plan
 from emulator.slopes.counting import count_lines, held
