--- a/emulator/cli.py
+++ b/emulator/cli.py
@@ -10,6 +10,7 @@
 COMMAND_MODULES: dict[str, str] = {
     "control": "emulator.control.command",
     "slopes": "emulator.slopes.command",
+    "fleet": "emulator.fleet.command",
 }
 
 
--- a/emulator/slopes/balancer_process.py
+++ b/emulator/slopes/balancer_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import socket
-import sys
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -15,6 +14,7 @@
 import msgspec
 import psutil
 
+from emulator.deployment import run_command
 from emulator.slopes.client import Address, Pinger
 from emulator.slopes.standins import LOCALHOST
 
@@ -120,9 +120,9 @@
         }
         with log.open("wb") as output:
             process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "dykeshift.node",
+                "/bin/sh",
+                "-c",
+                run_command(),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
