Write discovery's published form once for all stand-ins

Cause: the entry and the answer of discovery stood in the fleet's and the slopes' stand-ins and, as dictionaries, in the control scenario's. Change: emulator/discovery_form.py holds both; the three use it.

--- a/emulator/control/traffic.py
+++ b/emulator/control/traffic.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from dykeshift.node.call import Caller
 from emulator.control.child import report, run_child
 from emulator.control.contract import (
@@ -22,6 +23,7 @@
     TrafficConfig,
 )
 from emulator.control.http_server import HttpRequest, HttpResponse, HttpServer, number
+from emulator.discovery_form import Instance, Listing
 
 SERVICE_TIME = 0.005  # seconds
 DEADLINE_MS = 2_000
@@ -73,21 +75,11 @@
     async def _discover(self, request: HttpRequest) -> HttpResponse:
         if "from" in request.query:
             await asyncio.sleep(number(request, "hold_ms", 0) / 1000)
-            return HttpResponse(json.dumps({"generation": 1, "reset": False, "instances": []}).encode())
+            return HttpResponse(msgspec.json.encode(Listing(1, False, [])))
         instances = [
-            {
-                "instanceId": f"s{n}",
-                "hostPort": f"127.0.0.1:{port}",
-                "zone": "a",
-                "machineType": "m",
-                "cell": n,
-                "lifecycle": "active",
-                "weight": 1.0,
-                "startedAtMs": 0,
-            }
-            for n, port in enumerate(self.ports)
+            Instance(f"s{n}", f"127.0.0.1:{port}", "a", "m", cell=n) for n, port in enumerate(self.ports)
         ]
-        return HttpResponse(json.dumps({"generation": 1, "reset": True, "instances": instances}).encode())
+        return HttpResponse(msgspec.json.encode(Listing(1, True, instances)))
 
 
 class Client:
--- a/emulator/fleet/discovery_encoding.py
+++ b/emulator/fleet/discovery_encoding.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from emulator.discovery_form import Instance, Listing
 from emulator.fleet.contract import AddressPlan
 from emulator.fleet.discovery_list import FIRST_GENERATION, Entry, Lifecycle, ListVersion, merged, whole
 from emulator.fleet.layout import Layout, instance_id
@@ -16,27 +17,6 @@
 KEPT_CHANGES = 1024
 
 
-class Instance(msgspec.Struct, frozen=True, rename="camel"):
-    """One entry in discovery's published form."""
-
-    instance_id: str
-    host_port: str
-    zone: str
-    machine_type: str
-    cell: int
-    lifecycle: str
-    weight: float
-    started_at_ms: int
-
-
-class Listing(msgspec.Struct, frozen=True):
-    """A whole list (`reset`) or changes, in discovery's published form."""
-
-    generation: int
-    reset: bool
-    instances: list[Instance]
-
-
 class InstanceWriter:
     """Turns entries into their published form."""
 
--- a/emulator/slopes/deployment.py
+++ b/emulator/slopes/deployment.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dykeshift.interface import ServerEntry, ServerState
+from emulator.discovery_form import Instance, Listing
 from emulator.slopes.sizes import Scale
 
 MILLISECOND = 1_000_000
@@ -111,27 +112,6 @@
     )
 
 
-class Instance(msgspec.Struct, frozen=True, rename="camel"):
-    """One entry of discovery's list on the wire."""
-
-    instance_id: str
-    host_port: str
-    zone: str
-    machine_type: str
-    cell: int
-    lifecycle: str = "active"
-    weight: float = 1.0
-    started_at_ms: int = 0
-
-
-class Listing(msgspec.Struct, frozen=True):
-    """An answer of discovery: the whole list, or the changed entries alone."""
-
-    generation: int
-    reset: bool
-    instances: list[Instance]
-
-
 def server_host(number: int) -> str:
     """A loopback address of its own for each server."""
     high, low = divmod(number, 254)
--- a/emulator/slopes/standins.py
+++ b/emulator/slopes/standins.py
@@ -10,7 +10,8 @@
 import httptools
 import msgspec
 
-from emulator.slopes.deployment import Listing, one_change, server_host, whole_list
+from emulator.discovery_form import Listing
+from emulator.slopes.deployment import one_change, server_host, whole_list
 
 SERVICE_SECONDS = 0.02  # that a photo server holds each request
 LOCALHOST = "127.0.0.1"
--- a/tests/emulator/test_timeline.py
+++ b/tests/emulator/test_timeline.py
@@ -14,9 +14,10 @@
 from dykeshift.node import config
 from dykeshift.node.listing import ListReader
 from dykeshift.settings import parse_settings
+from emulator.discovery_form import Listing
 from emulator.fleet import timeline as events
 from emulator.fleet.contract import AddressPlan
-from emulator.fleet.discovery_encoding import InstanceWriter, Listing, RegionEncoder, known_list
+from emulator.fleet.discovery_encoding import InstanceWriter, RegionEncoder, known_list
 from emulator.fleet.discovery_list import Lifecycle, Schedule, ToldLifecycles, merged, whole
 from emulator.fleet.layout import build_layout
 from emulator.fleet.process import Clock
