Answer proposals that come too late in one place of the control replica

Cause: prepare and accept each looked for a chosen version and a higher promise with the same lines. Change: one method gives the answer to a stale proposal; behaviour is the same.

--- a/emulator/control/replica.py
+++ b/emulator/control/replica.py
@@ -175,13 +175,17 @@
     # ---- acceptor ----
 
     def _on_prepare(self, sender: int, message: Prepare) -> None:
+        answer = self._stale(message) or self._promise(message.version, message.ballot)
+        self._send(sender, answer)
+
+    def _stale(self, message: Prepare | Accept) -> Chosen | Refused | None:
+        """The answer to a proposal that comes too late; None if it may still be taken up."""
         version, ballot = message.version, message.ballot
         if version in self.chosen:
-            self._send(sender, Chosen(version, self.chosen[version]))
-        elif ballot < self.promised.get(version, 0):
-            self._send(sender, Refused(version, ballot, self.promised[version]))
-        else:
-            self._send(sender, self._promise(version, ballot))
+            return Chosen(version, self.chosen[version])
+        if ballot < self.promised.get(version, 0):
+            return Refused(version, ballot, self.promised[version])
+        return None
 
     def _promise(self, version: int, ballot: int) -> Promise:
         if ballot > self.promised.get(version, 0):
@@ -191,14 +195,12 @@
         return Promise(version, ballot, accepted_ballot, change)
 
     def _on_accept(self, sender: int, message: Accept) -> None:
-        version, ballot = message.version, message.ballot
-        if version in self.chosen:
-            self._send(sender, Chosen(version, self.chosen[version]))
-        elif ballot < self.promised.get(version, 0):
-            self._send(sender, Refused(version, ballot, self.promised[version]))
-        else:
-            self._accept(version, ballot, message.change)
-            self._send(sender, Accepted(version, ballot))
+        answer = self._stale(message)
+        if answer is not None:
+            self._send(sender, answer)
+            return
+        self._accept(message.version, message.ballot, message.change)
+        self._send(sender, Accepted(message.version, message.ballot))
 
     def _accept(self, version: int, ballot: int, change: Change) -> None:
         if self.accepted.get(version) == (ballot, change):
