Start real balancers and pick free ports in one way in all emulator commands

Change: deployment.start_balancer and free_ports serve fleet, slopes and control; the network tests share one free_port. Ports of one run are now always different.

--- a/emulator/control/real.py
+++ b/emulator/control/real.py
@@ -7,10 +7,8 @@
 
 import asyncio
 import json
-import os
 import re
 import signal
-import sys
 import tempfile
 import time
 from collections.abc import AsyncIterator
@@ -20,8 +18,8 @@
 from dykeshift.node.call import Caller
 from emulator.control.child import report, run_child
 from emulator.control.contract import Command, InForce, Ready, RealConfig, Restart, Started, TurnedDown
+from emulator.deployment import LIMITS, start_balancer
 
-COMMAND = [sys.executable, "-m", "dykeshift.node"]
 IN_FORCE = re.compile(r"settings version (\d+) is in force")
 TURNED_DOWN = re.compile(r"settings version (\d+) is turned down.*")
 READY_POLL = 0.02  # seconds
@@ -50,7 +48,7 @@
             "discovery": f"127.0.0.1:{self.config.discovery_port}",
             "control": f"{agent.host}:{agent.port}",
             "seed": f"{self.config.seed}-{self.number}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": LIMITS,
             "known": None,
             "settings": {**self.config.settings, "az": 0, "me": self.number},
             "settings_version": 0,
@@ -59,12 +57,8 @@
     async def start(self) -> None:
         """Start it and wait until it is ready."""
         self.version = 0
-        self.process = await asyncio.create_subprocess_exec(
-            *COMMAND,
-            env={**os.environ, "NODE_CONFIG": str(self.path)},
-            stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.PIPE,
+        self.process = await start_balancer(
+            {"NODE_CONFIG": str(self.path)}, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE
         )
         assert self.process.stderr is not None
         self.reading = asyncio.create_task(self._read(self.process.stderr))
--- a/emulator/control/supervisor.py
+++ b/emulator/control/supervisor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import tempfile
 import time
 from collections.abc import Callable
@@ -15,7 +14,6 @@
 from dykeshift.node.call import Caller
 from emulator.control import scenario as steps
 from emulator.control.contract import (
-    MACHINE_BLOCK,
     AddressPlan,
     AgentsConfig,
     AgentTotals,
@@ -40,6 +38,7 @@
 from emulator.control.measures import Measures
 from emulator.control.process import Child
 from emulator.control.results import ChangeResult, FailedResult, RefusedResult, RunResult, StepResult
+from emulator.free_ports import free_ports
 
 PUBLISH_TIMEOUT = 5.0  # seconds
 PUBLISH_TRIES = 5  # of one change, under its id
@@ -53,13 +52,6 @@
     """A step could not be taken as the scenario says."""
 
 
-def free_port() -> int:
-    """A port that is free on loopback now."""
-    with socket.socket() as probe:
-        probe.bind((f"127.{MACHINE_BLOCK}.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Supervisor:
     """One run."""
 
@@ -68,7 +60,7 @@
         self.emit = emit
         self.folder = folder
         self.base = steps.base_settings()
-        self.addresses = AddressPlan(free_port(), free_port(), free_port())
+        self.addresses = AddressPlan(*free_ports(3))
         self.measures = Measures(scenario.balancers)
         self.machines: dict[int, Child] = {}
         self.others: list[Child] = []  # agents, hollow balancers, traffic and real balancers
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
 import shlex
 import sys
 import tomllib
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import IO
 
 from emulator.errors import BadInputError
 
 PROJECT = Path(__file__).resolve().parents[1]
 DEPLOY_FILE = PROJECT / "deploy" / "balancer.toml"
 DEPLOYED_PYTHON = ".venv/bin/python"
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # of a balancer, as its configuration states them
+
+Output = IO[bytes] | IO[str] | int
 
 
 def run_command() -> str:
@@ -20,3 +27,25 @@
     if DEPLOYED_PYTHON not in command:
         raise BadInputError(f"the run line of {DEPLOY_FILE.name} does not start {DEPLOYED_PYTHON}")
     return command.replace(DEPLOYED_PYTHON, shlex.quote(sys.executable))
+
+
+async def start_balancer(
+    environment: Mapping[str, str],
+    stdout: Output,
+    stderr: Output,
+    start_new_session: bool = False,
+    preexec_fn: Callable[[], None] | None = None,
+) -> asyncio.subprocess.Process:
+    """A new balancer process with these variables beside this process's own."""
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh",
+        "-c",
+        run_command(),
+        cwd=PROJECT,
+        env={**os.environ, **environment},
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=stdout,
+        stderr=stderr,
+        start_new_session=start_new_session,
+        preexec_fn=preexec_fn,
+    )
--- a/emulator/fleet/managed_child.py
+++ b/emulator/fleet/managed_child.py
@@ -9,9 +9,10 @@
 
 import msgspec
 
+from emulator.deployment import PROJECT
 from emulator.fleet.contract import ProcessConfig, Ready, Start
 from emulator.fleet.process_logs import ProcessLog
-from emulator.fleet.real_balancers import REPOSITORY
+
 
 LINE_LIMIT = 16 * 1024 * 1024  # bytes of one line of measures
 END_TIMEOUT_S = 5.0  # from the end of its input until it is killed
@@ -55,7 +56,7 @@
                 sys.executable,
                 "-m",
                 self._module,
-                cwd=REPOSITORY,
+                cwd=PROJECT,
                 stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log_file,
--- a/emulator/fleet/real_balancers.py
+++ b/emulator/fleet/real_balancers.py
@@ -5,7 +5,6 @@
 import asyncio
 import ctypes
 import json
-import os
 import signal
 from collections.abc import Callable
 from functools import partial
@@ -13,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from emulator.deployment import run_command
+from emulator.deployment import start_balancer
 from emulator.fleet.contract import Address, AddressPlan
 from emulator.fleet.layout import Layout
 from emulator.fleet.process_logs import ProcessLog
@@ -21,7 +20,6 @@
 from emulator.fleet.settings_for_balancers import host_port, node_config
 
 ROLE = "balancer"
-REPOSITORY = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 60.0
 READY_PAUSE_S = 0.05  # between two looks whether one is ready
 END_TIMEOUT_S = 10.0
@@ -80,7 +78,7 @@
         """Start a new process from nothing."""
         config = self._config(f"{random.getrandbits(64):016x}")
         self._config_path.write_text(json.dumps(config), encoding="utf-8")
-        environment = os.environ | {
+        environment = {
             "NODE_NAME": f"n{self.number}",
             "NODE_LISTEN": host_port(self.address),
             "NODE_DISCOVERY": host_port(self._agent),
@@ -88,13 +86,8 @@
         }
         self.ending = False
         with self.log.open() as log_file:
-            self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh",
-                "-c",
-                run_command(),
-                cwd=REPOSITORY,
-                env=environment,
-                stdin=asyncio.subprocess.DEVNULL,
+            self.process = await start_balancer(
+                environment,
                 stdout=log_file,
                 stderr=log_file,
                 start_new_session=True,
--- a/emulator/fleet/supervisor.py
+++ b/emulator/fleet/supervisor.py
@@ -10,8 +10,7 @@
 from pathlib import Path
 from random import Random
 
-from emulator.fleet.contract import ProcessConfig, Start
-from emulator.fleet.free_ports import choose_addresses
+from emulator.fleet.contract import AddressPlan, ProcessConfig, Start
 from emulator.fleet.layout import build_layout
 from emulator.fleet.managed_child import ManagedChild
 from emulator.fleet.process_figures import ProcessFigures
@@ -20,6 +19,7 @@
 from emulator.fleet.run_record import DeadChild, MeasureLog, RunRecord
 from emulator.fleet.scenario import Scenario
 from emulator.fleet.timeline import BalancersStarted, BalancersStopped, Event, build_timeline
+from emulator.free_ports import free_ports
 
 SHARDS = 2
 START_DELAY_S = 0.5  # from the last `Ready` to the scenario's time 0
@@ -30,6 +30,11 @@
 Progress = Callable[[str, float], None]  # phase, seconds of the scenario
 
 
+def _choose_addresses(shards: int) -> AddressPlan:
+    server, agent, balancer, *shard_ports = free_ports(3 + shards)
+    return AddressPlan(server, agent, balancer, tuple(shard_ports))
+
+
 class Supervisor:
     """One run, from the first process to the end of the last."""
 
@@ -44,7 +49,7 @@
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._path = path.resolve()
-        self._addresses = choose_addresses(SHARDS)
+        self._addresses = _choose_addresses(SHARDS)
         layout = build_layout(scenario, record.seed)
         self._balancers = build_real_balancers(scenario, layout, self._addresses, self._logs)
         self._children: list[ManagedChild] = []
--- a/emulator/slopes/balancer_process.py
+++ b/emulator/slopes/balancer_process.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -14,13 +12,12 @@
 import msgspec
 import psutil
 
-from emulator.deployment import run_command
+from emulator.deployment import LIMITS, start_balancer
+from emulator.free_ports import free_ports
 from emulator.slopes.client import Address, Pinger
 from emulator.slopes.standins import LOCALHOST
 
-PROJECT = Path(__file__).resolve().parents[2]
 READY_SECONDS = 40.0  # until a balancer has to be ready
-LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
 
 class RigError(Exception):
@@ -86,20 +83,14 @@
         await self.process.wait()
 
 
-def free_port() -> int:
-    """A port that was free on loopback a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((LOCALHOST, 0))
-        return int(probe.getsockname()[1])
-
-
 @asynccontextmanager
 async def running_balancer(
     settings: dict[str, Any], seed: int, agent_port: int
 ) -> AsyncIterator[BalancerProcess]:
     """Start the program with these settings, and stop it in the end."""
     with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
-        address = (LOCALHOST, free_port())
+        (port,) = free_ports(1)
+        address = (LOCALHOST, port)
         config, log = Path(folder, "config.json"), Path(folder, "log")
         listen, discovery = f"{LOCALHOST}:{address[1]}", f"{LOCALHOST}:{agent_port}"
         configuration = {
@@ -112,23 +103,13 @@
         }
         config.write_bytes(msgspec.json.encode(configuration))
         environment = {
-            **os.environ,
             "NODE_NAME": "n0",
             "NODE_LISTEN": listen,
             "NODE_DISCOVERY": discovery,
             "NODE_CONFIG": str(config),
         }
         with log.open("wb") as output:
-            process = await asyncio.create_subprocess_exec(
-                "/bin/sh",
-                "-c",
-                run_command(),
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
-                env=environment,
-                cwd=PROJECT,
-            )
+            process = await start_balancer(environment, stdout=output, stderr=output)
         balancer = BalancerProcess(process, address, log)
         try:
             yield balancer
--- a/emulator/slopes/process_role.py
+++ b/emulator/slopes/process_role.py
@@ -9,7 +9,7 @@
 import msgspec
 import psutil
 
-from emulator.slopes.balancer_process import PROJECT
+from emulator.deployment import PROJECT
 from emulator.slopes.rig import Job, Result
 from emulator.slopes.roles import Effort, Figure, MeasurementError, Role
 from emulator.slopes.sizes import SMALL_CUSTOMER, TARGET, Axis, Scale
--- a/tests/emulator/test_control_plane.py
+++ b/tests/emulator/test_control_plane.py
@@ -17,7 +17,7 @@
 from emulator.control.http_server import HttpRequest, HttpResponse, HttpServer
 from emulator.control.messages import AcceptRecord, Change, ChosenRecord, Message, PromiseRecord, Record
 from emulator.control.replica import Outcome, Replica, Step, Verdict
-from emulator.control.supervisor import free_port
+from emulator.free_ports import free_ports
 
 MACHINES = 3
 TICK = 0.02
@@ -360,7 +360,7 @@
         return await self.history.answer(request)
 
     async def start(self) -> AddressPlan:
-        port = free_port()
+        (port,) = free_ports(1)
         await HttpServer(self.handle).listen(AddressPlan(port, 0, 0).machine(1).host, port)
         return AddressPlan(port, 0, 0)
 
--- a/tests/emulator/test_standins.py
+++ b/tests/emulator/test_standins.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import asynccontextmanager
@@ -37,6 +36,7 @@
 from emulator.fleet.photo_server_process import PhotoServerPart
 from emulator.fleet.process import Clock, Fleet, TimelinePlayer
 from emulator.fleet.scenario import Scenario, load_scenario
+from emulator.free_ports import free_ports
 
 QUICK = Path(__file__).parents[2] / "emulator" / "scenarios" / "quick.toml"
 PATIENCE_S = 10.0  # only a test that has failed waits for so long
@@ -244,14 +244,6 @@
         runner.run(asyncio.wait_for(main, PATIENCE_S))
 
 
-def free_ports(count: int) -> list[int]:
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in held]
-    for listener in held:
-        listener.close()
-    return ports
-
-
 def fleet(given: Scenario, *timeline: events.Event) -> Fleet:
     server, agent, balancer, shard = free_ports(4)
     addresses = AddressPlan(server, agent, balancer, (shard,))
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
@@ -25,6 +26,13 @@
         runner.run(asyncio.wait_for(main, PATIENCE))
 
 
+def free_port() -> int:
+    """A port of loopback that was free a moment ago."""
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return int(one.getsockname()[1])
+
+
 async def until(condition: Callable[[], bool]) -> None:
     while not condition():
         await asyncio.sleep(0.002)
--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -24,6 +24,7 @@
     Stub,
     answer,
     configuration,
+    free_port,
     instance,
     listing,
     read_message,
@@ -114,12 +115,6 @@
     assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return int(one.getsockname()[1])
-
-
 @asynccontextmanager
 async def program(
     stub: Stub, folder: Path, stderr: int | None = None
--- a/tests/node/test_standing_terms.py
+++ b/tests/node/test_standing_terms.py
@@ -28,6 +28,7 @@
     allowing,
     answer,
     configuration,
+    free_port,
     instance,
     listing,
     node,
@@ -461,12 +462,6 @@
         await child.wait()
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return int(one.getsockname()[1])
-
-
 async def until_ready(port: int) -> None:
     while True:
         with suppress(OSError, asyncio.IncompleteReadError):
