--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -10,7 +10,6 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -71,7 +70,6 @@
     driver.start()
     discovery.take_known(given.known)
     watch = watch_settings(given, ServiceSettings(driver, discovery, front))
-    given = replace(given, known=None)  # as large as the fleet
     if not given.settings.ask_discovery:
         discovery.watch()
         # What the agent has counts as told since before the program was loaded: the list known from
