--- a/review/rig.py
+++ b/review/rig.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -282,6 +283,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                preexec_fn=end_with_parent,
             )
         await self._wait_until_ready()
         self.record(f"balancer {self.name} is ready at {self.config['listen']}")
@@ -315,6 +317,11 @@
             await self.process.wait()
 
 
+def end_with_parent() -> None:
+    """Have the system end this process if the case is killed (prctl PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, int(signal.SIGKILL))
+
+
 def free_port() -> int:
     """A loopback port that was free at the time of the call."""
     with socket.socket() as bound:
