--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 
 import rig
 
-SECONDS = 60
+SECONDS = 90
 BALANCERS = 2
 SERVERS = 8
 CLIENTS = 40
