Move the state of servers, requests and attempts out of rules.py

What a request's attempts ask of each other is about to be decided in one place, which wants a module of its own. Change: Server and ServerClassState are in server_state.py, Attempt and OpenRequest in attempts.py, unchanged.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -11,11 +11,11 @@
 
 from array import array
 from bisect import bisect_left, insort
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 
+from dykeshift.attempts import Attempt, OpenRequest
 from dykeshift.interface import (
-    UNEXECUTED_OUTCOMES,
     Action,
     AttemptEnd,
     Cancel,
@@ -23,7 +23,6 @@
     Fail,
     Idempotency,
     ListKind,
-    LoadReport,
     Log,
     Outcome,
     Refuse,
@@ -37,6 +36,7 @@
     Settings,
     Watch,
 )
+from dykeshift.server_state import Server, ServerClassState
 
 # Names that end in _TARGET_SHARE are shares of the latency target of the request's class, and names that end
 # in _LATENCY_MULTIPLE are multiples of the usual latency of that class, unless a comment says otherwise.
@@ -161,71 +161,6 @@
 ANSWER_OUTCOMES = (Outcome.OK, Outcome.ERROR, Outcome.FULL)  # answers of the server itself
 
 
-@dataclass(slots=True)
-class ServerClassState:
-    """One class of requests at one server. A class may hang at a server that answers all others."""
-
-    in_flight: int = 0
-    # Time of the latest outcome other than a cancellation, or of the first attempt sent after an idle time.
-    silent_since: int = 0
-    consecutive_failures: int = 0
-    backoff_until: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this balancer has learned about one server. Attempts are those of this balancer alone."""
-
-    entry: ServerEntry
-    in_flight_limit: float  # attempts that it has shown it can carry at once
-    slow_start_budget: float  # attempts that it may be sent while cold
-    budget_request_count: int  # value of Balancer.request_count up to which the budget has grown
-    class_states: list[ServerClassState]
-    in_flight: int = 0
-    mean_in_flight: float = 0.0  # running mean of in_flight, sampled when a request considers the server
-    limit_cut_at: int = 0
-    backoff_until: int = 0
-    mean_latency_share: float = 0.0  # running mean of its latency, as a share of the latency target
-    answered_since_idle: bool = True  # whether it has answered since it last had no attempts
-    silent_since: int = 0  # time of its latest answer, or of the first attempt sent after an idle time
-    has_answered: bool = False  # since its start
-    relative_latency: float = 1.0  # running mean of its latency over the usual latency of the class
-    load_report: LoadReport | None = None
-    load_reported_at: int = 0
-    abandoned_until: list[int] = field(default_factory=list)  # until when abandoned attempts count as running
-    connect_failures: int = 0  # consecutive ones
-    # By class and outcome, since the last log report.
-    outcome_counts: dict[str, int] = field(default_factory=dict)
-    failure_count: int = 0  # of these outcomes
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt of a request at one server."""
-
-    server: Server
-    sent_at: int
-    outcome: Outcome | None = None  # None: in flight
-
-
-@dataclass(slots=True, eq=False)
-class OpenRequest:
-    """A request until it is answered and all its attempts have ended."""
-
-    request: Request
-    request_class: RequestClass
-    arrived_at: int
-    attempts: list[Attempt] = field(default_factory=list)
-    in_flight: int = 0
-    closed: bool = False
-    streaming: bool = False
-    over_quota: bool = False  # of its tenant
-
-    def first_possibly_executed(self) -> Attempt | None:
-        """The first attempt that may have been executed: it limits where and until when a repeat may go."""
-        return next((a for a in self.attempts if a.outcome not in UNEXECUTED_OUTCOMES), None)
-
-
 class Fleet:
     """The entries of all listed servers and the sorted ids of those that are ready.
 
--- a/tests/test_decision_cost.py
+++ b/tests/test_decision_cost.py
@@ -19,7 +19,7 @@
 
 import pytest
 
-from dykeshift import rules
+from dykeshift import attempts, rules, server_state
 from dykeshift.interface import (
     Action,
     AttemptEnd,
@@ -32,7 +32,8 @@
     ServerListUpdate,
     ServerState,
 )
-from dykeshift.rules import MAX_KNOWN_SERVERS, MAX_LOGGED_SERVERS, Balancer, Server, ServerClassState
+from dykeshift.rules import MAX_KNOWN_SERVERS, MAX_LOGGED_SERVERS, Balancer
+from dykeshift.server_state import Server, ServerClassState
 from tests.harness import MS, S, make_settings
 
 SMALL = (100, 100)  # servers, tenants
@@ -42,15 +43,16 @@
 REQUEST_INTERVAL_NS = 16 * MS  # 62 requests per second
 LATENCY_NS = 10 * MS
 SWEEP_INTERVAL_NS = 375 * MS
+DECISION_FILES = {rules.__file__, attempts.__file__, server_state.__file__}
 
 
 def count_instructions(call: Callable[[], object]) -> int:
-    """Count the bytecode instructions of rules.py that the call executes."""
+    """Count the bytecode instructions of the decision module that the call executes."""
     count = 0
 
     def on_event(frame: FrameType, event: str, arg: Any) -> Any:
         nonlocal count
-        if frame.f_code.co_filename != rules.__file__:
+        if frame.f_code.co_filename not in DECISION_FILES:
             return None
         frame.f_trace_opcodes, frame.f_trace_lines = True, False
         count += event == "opcode"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,7 +16,7 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent
-RULES_FILE = ROOT / "dykeshift" / "rules.py"
+DECISION_FILES = [ROOT / "dykeshift" / name for name in ("rules.py", "attempts.py", "server_state.py")]
 
 
 def settings(**changes: Any) -> dict[str, Any]:
@@ -168,20 +168,21 @@
         assert actions_of(alone, i) == actions_of(together[0], i) and len(actions_of(alone, i)) > 50
 
 
-def test_the_rules_file_keeps_its_size_limits() -> None:
-    lines = RULES_FILE.read_text().splitlines()
+def test_the_decision_files_keep_their_size_limits() -> None:
+    lines = [line for path in DECISION_FILES for line in path.read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
-    assert "interface.py" in "".join(lines[:3])
+    assert "interface.py" in "".join(DECISION_FILES[0].read_text().splitlines()[:3])
 
 
 def test_the_decision_module_has_no_access_to_clock_files_or_environment() -> None:
-    tree = ast.parse(RULES_FILE.read_text())
-    imported = {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
-    imported |= {n.module or "" for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)}
-    assert imported <= {"__future__", "array", "bisect", "dataclasses", "random", "dykeshift.interface"}
-    names = {n.id for n in ast.walk(tree) if isinstance(n, ast.Name)}
+    statements = [n for path in DECISION_FILES for n in ast.walk(ast.parse(path.read_text()))]
+    imported = {a.name for n in statements if isinstance(n, ast.Import) for a in n.names}
+    imported |= {n.module or "" for n in statements if isinstance(n, ast.ImportFrom)}
+    own = {"dykeshift.interface", "dykeshift.attempts", "dykeshift.server_state"}
+    assert imported <= {"__future__", "array", "bisect", "dataclasses", "random"} | own
+    names = {n.id for n in statements if isinstance(n, ast.Name)}
     assert not names & {"open", "eval", "exec", "hash", "id", "__import__", "print", "input"}
-    import_froms = [n for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)]
+    import_froms = [n for n in statements if isinstance(n, ast.ImportFrom)]
     from_random = {a.name for n in import_froms if n.module == "random" for a in n.names}
     assert from_random == {"Random"}, "only an own seeded generator may be used"
