Log how long attempts wait for connections and how late repeats start

Four causes would look alike in the logs so far: a first attempt that is written late, a repeat that is decided on in its window and written late, a repeat that is decided on too late after a wait for a server, and a second request of the client. Change: the pool asks the decision module (try_start_attempt) just before an attempt is written. The module logs, for each class, the longest wait for a connection by number of the attempt and the latest repeat after the first start.

--- a/dykeshift/attempts.py
+++ b/dykeshift/attempts.py
@@ -16,7 +16,8 @@
     """One attempt of a request at one server."""
 
     server: Server
-    sent_at: int
+    decided_at: int
+    started_at: int | None = None  # when it was written; None: it waits for its connection
     outcome: Outcome | None = None  # None: in flight
 
 
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -322,6 +322,7 @@
             deadline,
             on_end,
             action.start_before,
+            partial(self._try_start, open_request.request_id, attempt_index),
             open_request.is_client_waiting,
         )
         open_request.attempts.append(attempt)
@@ -330,6 +331,14 @@
         if action.timeout and deadline < open_request.answer_deadline:
             self.loop.call_later((deadline - now) / 1e9, attempt.abort, Outcome.TIMEOUT)
 
+    def _try_start(self, request_id: str, attempt_index: int, now: int) -> bool:
+        """Ask the decision module whether an attempt that has its connection may be written at this time."""
+        try:
+            return self.decision_module.try_start_attempt(now, request_id, attempt_index)
+        except Exception:
+            log.exception("the decision module raised an exception in try_start_attempt")
+            return False
+
     def _cancel(self, action: Cancel) -> None:
         open_request = self.open_requests.get(action.request_id)
         if open_request is None or action.attempt_index >= len(open_request.attempts):
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -305,6 +305,10 @@
     counts[name] = counts.get(name, 0) + 1
 
 
+def _keep_longest(longest_ms: dict[str, int], name: str, duration: int) -> None:
+    longest_ms[name] = max(longest_ms.get(name, 0), duration // 1_000_000)
+
+
 def _format_counts(counts: dict[str, int]) -> str:
     return " ".join(f"{name}:{n}" for name, n in sorted(counts.items())) or "-"
 
@@ -340,6 +344,10 @@
         self.tenant_quotas = TenantQuotas(settings)
         self.give_up_counts: dict[str, int] = {}  # by class and reason, since the last log report
         self.outcome_counts: dict[str, int] = {}  # at all servers, by class and outcome, since then
+        self.longest_start_waits: dict[str, int] = {}  # ms for a connection, by class and attempt, since then
+        self.latest_repeats: dict[
+            str, int
+        ] = {}  # ms after the first start of a request, by class, since then
         self.actions: list[Action] = []
         self.class_names = [c.name for c in settings.classes]  # by class index; removed classes at the end
 
@@ -649,7 +657,7 @@
             return True
         return (
             open_request.request_class.idempotency is Idempotency.KEYED
-            and now < first.sent_at + open_request.request_class.dedup_window
+            and now < first.decided_at + open_request.request_class.dedup_window
         )
 
     # ---- idle and busy servers ----
@@ -801,11 +809,12 @@
         if self._may_send(now, open_request):
             sample = self._sample_servers(now, open_request)
             target = next((s for s in sample if self._is_idle(now, s)), None)
-            last_sent_at = max(a.sent_at for a in open_request.attempts)
+            last_decided_at = max(a.decided_at for a in open_request.attempts)
             # After this time the answer may be lost, so a server that is not idle will do.
             if (
                 target is None
-                and now - last_sent_at > NON_IDLE_COPY_LATENCY_MULTIPLE * self._expected_latency(open_request)
+                and now - last_decided_at
+                > NON_IDLE_COPY_LATENCY_MULTIPLE * self._expected_latency(open_request)
             ):
                 target = next(
                     (
@@ -825,7 +834,7 @@
             and open_request.first_possibly_executed()
         )
         # Passed on with the attempt, since its connection may only be established after the dedup window.
-        start_before = first.sent_at + open_request.request_class.dedup_window if first else 0
+        start_before = first.decided_at + open_request.request_class.dedup_window if first else 0
         open_request.attempts.append(Attempt(server, now))
         open_request.in_flight += 1
         server.in_flight += 1
@@ -840,6 +849,28 @@
         # client would retry and the work would start again.
         self.actions.append(Send(open_request.request.id, server.entry.id, 0, start_before))
 
+    def try_start_attempt(self, now: int, request_id: str, attempt_index: int) -> bool:
+        """Record that an attempt which has got its connection is written now; False if it must not be.
+
+        Hosts that write each attempt as soon as it is decided on need not ask.
+        """
+        open_request = self.open_requests.get(request_id)
+        if open_request is None or open_request.closed:
+            return False
+        attempt = open_request.attempts[attempt_index]
+        attempt.started_at = now
+        self._record_start(now, open_request, attempt_index)
+        return True
+
+    def _record_start(self, now: int, open_request: OpenRequest, attempt_index: int) -> None:
+        """Keep the longest wait for a connection and the latest repeat for the next log report."""
+        name = open_request.request_class.name
+        waited = now - open_request.attempts[attempt_index].decided_at
+        _keep_longest(self.longest_start_waits, f"{name}/{attempt_index + 1}", waited)
+        starts = [a.started_at for a in open_request.attempts if a.started_at is not None]
+        if len(starts) > 1:
+            _keep_longest(self.latest_repeats, name, now - min(starts))
+
     def _wait_for_server(self, now: int, open_request: OpenRequest) -> None:
         """Search again soon, and give up when an answer can no longer be in time."""
         min_time_left = int(MIN_TIME_LEFT_LATENCY_MULTIPLE * self._expected_latency(open_request))
@@ -1185,8 +1216,17 @@
                 f"gave up {_format_counts(self.give_up_counts)}"
             )
         )
+        if self.longest_start_waits:
+            self.actions.append(
+                Log(
+                    f"longest waits for a connection in ms {_format_counts(self.longest_start_waits)} "
+                    f"latest repeats in ms {_format_counts(self.latest_repeats)}"
+                )
+            )
         self._log_servers(now)
         self.give_up_counts.clear()
+        self.longest_start_waits.clear()
+        self.latest_repeats.clear()
 
     def _count_outcome(self, server: Server, name: str, outcome: Outcome) -> None:
         _increment(self.outcome_counts, name)
