Ask again at its start whether an attempt may run: verdicts were recorded twice

Cause: the decision module took the decision to send for the sending. An attempt carried the end of the window (start_before) only if an earlier one might already have run when it was decided on. A first attempt, or a repeat of one that was turned away, carried none, and was written as soon as it had its connection, though a copy that was decided on later had run long before. Change: when an attempt has its connection, the pool asks the module, which asks the question of the decision once more (attempts.py), with regard to the attempts that were started before and the times of their starts. The first one written opens the window and every other has to keep to it, in whatever order they were decided on; so this does not hang on an order of events. start_before is gone. The same question at the start covers related paths: copies or attempts that new settings forbid during the connect. Counts for the log are in a module of their own.

--- a/dykeshift/attempts.py
+++ b/dykeshift/attempts.py
@@ -1,4 +1,9 @@
-"""The open requests of one balancer and their attempts.
+"""The open requests of one balancer, their attempts, and whether a request may have one more attempt.
+
+An attempt is decided on first and started, that is, written to a server, once it has a connection. That may
+take as long as the connect timeout, and what another attempt does meanwhile may forbid the start. Therefore
+the same question is asked at both times: at the decision with regard to all attempts, as those that have no
+connection yet may start at any moment, and at the start with regard to those that were started before.
 
 All times and durations are in nanoseconds.
 """
@@ -7,7 +12,16 @@
 
 from dataclasses import dataclass, field
 
-from dykeshift.interface import UNEXECUTED_OUTCOMES, Outcome, Request, RequestClass
+from dykeshift.interface import (
+    UNEXECUTED_OUTCOMES,
+    DedupScope,
+    Idempotency,
+    Outcome,
+    Request,
+    RequestClass,
+    ServerEntry,
+    Settings,
+)
 from dykeshift.server_state import Server
 
 
@@ -20,6 +34,16 @@
     started_at: int | None = None  # when it was written; None: it waits for its connection
     outcome: Outcome | None = None  # None: in flight
 
+    def earliest_start(self) -> int:
+        """When it was started, or from when on it may have been if that has not been reported."""
+        return self.decided_at if self.started_at is None else self.started_at
+
+
+def first_possibly_executed(attempts: list[Attempt]) -> Attempt | None:
+    """The first attempt that may have been executed: it limits where and until when a repeat may go."""
+    candidates = [a for a in attempts if a.outcome not in UNEXECUTED_OUTCOMES]
+    return min(candidates, key=lambda a: a.earliest_start()) if candidates else None
+
 
 @dataclass(slots=True, eq=False)
 class OpenRequest:
@@ -34,6 +58,32 @@
     streaming: bool = False
     over_quota: bool = False  # of its tenant
 
-    def first_possibly_executed(self) -> Attempt | None:
-        """The first attempt that may have been executed: it limits where and until when a repeat may go."""
-        return next((a for a in self.attempts if a.outcome not in UNEXECUTED_OUTCOMES), None)
+    def started_attempts(self) -> list[Attempt]:
+        """The attempts that have been written to a server, whatever became of them."""
+        return [a for a in self.attempts if a.started_at is not None]
+
+    def may_have_one_more(self, now: int, settings: Settings, earlier: list[Attempt]) -> bool:
+        """Whether one more attempt may run, at a server in its dedup scope, given the earlier ones."""
+        if self.closed or self.streaming or len(earlier) >= settings.max_attempts:
+            return False
+        if not settings.copies_allowed and any(a.outcome is None for a in earlier):
+            return False
+        first = first_possibly_executed(earlier)
+        if first is None or self.request_class.idempotency is Idempotency.SAFE:
+            return True
+        return (
+            self.request_class.idempotency is Idempotency.KEYED
+            and now < first.earliest_start() + self.request_class.dedup_window
+        )
+
+    def is_in_dedup_scope(self, entry: ServerEntry, earlier: list[Attempt]) -> bool:
+        """Whether this server drops a repeat of the request, given its earlier attempts."""
+        scope = self.request_class.dedup_scope
+        if self.request_class.idempotency is not Idempotency.KEYED or scope is DedupScope.ALL:
+            return True
+        first = first_possibly_executed(earlier)
+        if first is None:
+            return True
+        if scope is DedupScope.ZONE:
+            return first.server.entry.zone == entry.zone
+        return first.server.entry.cell == entry.cell
--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -142,7 +142,6 @@
     request_id: str
     server_id: int
     timeout: int  # 0: until the client's deadline
-    start_before: int = 0  # clock time from which the attempt must not be started; 0: no limit
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -321,7 +321,6 @@
             open_request.client_request.build_message,
             deadline,
             on_end,
-            action.start_before,
             partial(self._try_start, open_request.request_id, attempt_index),
             open_request.is_client_waiting,
         )
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -96,7 +96,6 @@
         "build_request",
         "deadline_ns",
         "on_end",
-        "start_before_ns",
         "try_start",
         "is_client_waiting",
         "connection",
@@ -112,7 +111,6 @@
         build_request: Callable[[int], bytes],
         deadline_ns: int,
         on_end: Callable[[AttemptResult], None],
-        start_before_ns: int,
         try_start: Callable[[int], bool],
         is_client_waiting: Callable[[], bool],
     ) -> None:
@@ -121,7 +119,6 @@
         self.build_request = build_request  # takes the nanoseconds that are left until the deadline
         self.deadline_ns = deadline_ns
         self.on_end = on_end
-        self.start_before_ns = start_before_ns  # the request is not written from then on; 0: the deadline
         self.try_start = try_start  # takes the time and returns whether the request may be written
         self.is_client_waiting = is_client_waiting
         self.connection: Connection | None = None  # None until the request is written
@@ -142,13 +139,12 @@
             return False
         now = time.monotonic_ns()
         left = self.deadline_ns - now
-        late = left <= 0 or now >= (self.start_before_ns or self.deadline_ns)
         message = self.build_request(left)
         sent_at = monotonic()
         # The client's socket is checked last, and no clock is read after it: the process may stall at any
         # reading of the clock, for longer than an attempt may start after its client has disconnected.
         if (
-            late
+            left <= 0
             or not self.upstream.accepts_requests
             or not self.try_start(now)
             or not self.is_client_waiting()
@@ -329,21 +325,17 @@
         build_request: Callable[[int], bytes],
         deadline_ns: int,
         on_end: Callable[[AttemptResult], None],
-        start_before_ns: int = 0,
         try_start: Callable[[int], bool] = lambda _: True,
         is_client_waiting: Callable[[], bool] = lambda: True,
     ) -> Attempt:
         """Start an attempt at a server.
 
         `build_request` takes the nanoseconds that are left until `deadline_ns` and returns the request.
-        The request is not written at or after `start_before_ns` (0: the deadline), nor when `try_start`,
-        which is called with the time just before the request is written, or `is_client_waiting` returns
-        False.
+        The request is not written if `try_start`, which is called with the time when the attempt has its
+        connection, or `is_client_waiting` returns False.
         """
         upstream = self._upstream_of(server_id)
-        attempt = Attempt(
-            self, upstream, build_request, deadline_ns, on_end, start_before_ns, try_start, is_client_waiting
-        )
+        attempt = Attempt(self, upstream, build_request, deadline_ns, on_end, try_start, is_client_waiting)
         if not upstream.accepts_requests:
             self.loop.call_soon(attempt.finish, AttemptResult(Outcome.NOT_SENT))
             return attempt
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -4,7 +4,8 @@
 as copies to several of them if enough look idle. Any other goes once, to an idle server or, if there is
 none, to a random one of the sample. The first good answer cancels the other attempts. Every public method
 of Balancer that reports an event takes the time and returns the actions to carry out. All times and
-durations are in nanoseconds unless a name or comment says otherwise.
+durations are in nanoseconds unless a name or comment says otherwise. Whether a request may have one more
+attempt is decided in attempts.py, and asked again when an attempt gets its connection.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 from dataclasses import replace
 from random import Random
 
-from dykeshift.attempts import Attempt, OpenRequest
+from dykeshift.attempts import Attempt, OpenRequest, first_possibly_executed
 from dykeshift.interface import (
     Action,
     AttemptEnd,
@@ -36,6 +37,7 @@
     Settings,
     Watch,
 )
+from dykeshift.log_counts import StartStatistics, format_counts, increment
 from dykeshift.server_state import Server, ServerClassState
 
 # Names that end in _TARGET_SHARE are shares of the latency target of the request's class, and names that end
@@ -301,18 +303,6 @@
     return one.id == other.id and one.started_at == other.started_at
 
 
-def _increment(counts: dict[str, int], name: str) -> None:
-    counts[name] = counts.get(name, 0) + 1
-
-
-def _keep_longest(longest_ms: dict[str, int], name: str, duration: int) -> None:
-    longest_ms[name] = max(longest_ms.get(name, 0), duration // 1_000_000)
-
-
-def _format_counts(counts: dict[str, int]) -> str:
-    return " ".join(f"{name}:{n}" for name, n in sorted(counts.items())) or "-"
-
-
 class Balancer:
     """One balancer: takes events with their time and returns the actions to carry out."""
 
@@ -344,10 +334,7 @@
         self.tenant_quotas = TenantQuotas(settings)
         self.give_up_counts: dict[str, int] = {}  # by class and reason, since the last log report
         self.outcome_counts: dict[str, int] = {}  # at all servers, by class and outcome, since then
-        self.longest_start_waits: dict[str, int] = {}  # ms for a connection, by class and attempt, since then
-        self.latest_repeats: dict[
-            str, int
-        ] = {}  # ms after the first start of a request, by class, since then
+        self.start_statistics = StartStatistics()
         self.actions: list[Action] = []
         self.class_names = [c.name for c in settings.classes]  # by class index; removed classes at the end
 
@@ -573,7 +560,7 @@
 
     def _candidates(self, open_request: OpenRequest) -> list[Server]:
         """The pool, or servers beyond it for the repeat of a keyed request, which few servers drop."""
-        first = open_request.first_possibly_executed()
+        first = first_possibly_executed(open_request.attempts)
         if first is None or open_request.request_class.idempotency is not Idempotency.KEYED:
             return self.pool
         if len(self.fleet.entries) <= MAX_KNOWN_SERVERS:
@@ -608,10 +595,7 @@
     def _may_receive(self, now: int, open_request: OpenRequest, server: Server) -> bool:
         if any(_is_same_process(attempt.server.entry, server.entry) for attempt in open_request.attempts):
             return False
-        first = open_request.first_possibly_executed()
-        if first is not None and not self._is_in_dedup_scope(
-            open_request.request_class, first.server.entry, server.entry
-        ):
+        if not open_request.is_in_dedup_scope(server.entry, open_request.attempts):
             return False
         # A class that hangs at some servers must not occupy them: one attempt after each back-off.
         if now < server.class_states[open_request.request.class_index].backoff_until:
@@ -624,16 +608,6 @@
             and self._has_slow_start_budget(now, server)
         )
 
-    def _is_in_dedup_scope(self, request_class: RequestClass, first: ServerEntry, other: ServerEntry) -> bool:
-        """Whether a server drops the repeat of a request that was first sent to another one."""
-        if request_class.idempotency is not Idempotency.KEYED or request_class.dedup_scope is DedupScope.ALL:
-            return True
-        return (
-            first.zone == other.zone
-            if request_class.dedup_scope is DedupScope.ZONE
-            else first.cell == other.cell
-        )
-
     def _count_abandoned(self, now: int, server: Server) -> int:
         """Attempts whose results are no longer needed but which the server may still be working on."""
         server.abandoned_until = [until for until in server.abandoned_until if until > now]
@@ -641,24 +615,10 @@
 
     def _may_send(self, now: int, open_request: OpenRequest) -> bool:
         """Whether the request may have one more attempt, at a server that _may_receive accepts."""
-        if (
-            open_request.closed
-            or open_request.streaming
-            or len(open_request.attempts) >= self.settings.max_attempts
-        ):
-            return False
         end = open_request.request.answer_deadline or open_request.request.deadline
         if not open_request.request_class.late_worth_share:
             end = min(end, open_request.arrived_at + open_request.request_class.latency_target)
-        if now >= end or (open_request.in_flight and not self.settings.copies_allowed):
-            return False
-        first = open_request.first_possibly_executed()
-        if first is None or open_request.request_class.idempotency is Idempotency.SAFE:
-            return True
-        return (
-            open_request.request_class.idempotency is Idempotency.KEYED
-            and now < first.decided_at + open_request.request_class.dedup_window
-        )
+        return now < end and open_request.may_have_one_more(now, self.settings, open_request.attempts)
 
     # ---- idle and busy servers ----
 
@@ -829,12 +789,6 @@
             self._schedule_delayed_copy(now, open_request)
 
     def _send_attempt(self, now: int, open_request: OpenRequest, server: Server) -> None:
-        first = (
-            open_request.request_class.idempotency is Idempotency.KEYED
-            and open_request.first_possibly_executed()
-        )
-        # Passed on with the attempt, since its connection may only be established after the dedup window.
-        start_before = first.decided_at + open_request.request_class.dedup_window if first else 0
         open_request.attempts.append(Attempt(server, now))
         open_request.in_flight += 1
         server.in_flight += 1
@@ -847,7 +801,7 @@
             state.silent_since = now
         # The attempt lasts until the client's deadline. If it were cancelled at the latency target, the
         # client would retry and the work would start again.
-        self.actions.append(Send(open_request.request.id, server.entry.id, 0, start_before))
+        self.actions.append(Send(open_request.request.id, server.entry.id, 0))
 
     def try_start_attempt(self, now: int, request_id: str, attempt_index: int) -> bool:
         """Record that an attempt which has got its connection is written now; False if it must not be.
@@ -855,22 +809,23 @@
         Hosts that write each attempt as soon as it is decided on need not ask.
         """
         open_request = self.open_requests.get(request_id)
-        if open_request is None or open_request.closed:
+        if open_request is None:
+            return False
+        attempt, started = open_request.attempts[attempt_index], open_request.started_attempts()
+        name = open_request.request_class.name
+        if not (
+            open_request.may_have_one_more(now, self.settings, started)
+            and open_request.is_in_dedup_scope(attempt.server.entry, started)
+        ):
+            self.start_statistics.record_refused(name)
             return False
-        attempt = open_request.attempts[attempt_index]
+        self.start_statistics.record_wait(name, attempt_index, now - attempt.decided_at)
+        first = first_possibly_executed(started)
+        if first is not None:
+            self.start_statistics.record_repeat(name, now - first.earliest_start())
         attempt.started_at = now
-        self._record_start(now, open_request, attempt_index)
         return True
 
-    def _record_start(self, now: int, open_request: OpenRequest, attempt_index: int) -> None:
-        """Keep the longest wait for a connection and the latest repeat for the next log report."""
-        name = open_request.request_class.name
-        waited = now - open_request.attempts[attempt_index].decided_at
-        _keep_longest(self.longest_start_waits, f"{name}/{attempt_index + 1}", waited)
-        starts = [a.started_at for a in open_request.attempts if a.started_at is not None]
-        if len(starts) > 1:
-            _keep_longest(self.latest_repeats, name, now - min(starts))
-
     def _wait_for_server(self, now: int, open_request: OpenRequest) -> None:
         """Search again soon, and give up when an answer can no longer be in time."""
         min_time_left = int(MIN_TIME_LEFT_LATENCY_MULTIPLE * self._expected_latency(open_request))
@@ -941,13 +896,13 @@
 
     def _give_up(self, now: int, open_request: OpenRequest, reason: str) -> None:
         """Give the final answer without a server: Refuse if a retry is harmless, otherwise Fail."""
-        _increment(self.give_up_counts, f"{open_request.request_class.name}/{reason}")
+        increment(self.give_up_counts, f"{open_request.request_class.name}/{reason}")
         idempotency = open_request.request_class.idempotency
         deduped_everywhere = (
             idempotency is Idempotency.KEYED and open_request.request_class.dedup_scope is DedupScope.ALL
         )
         is_harmless = (
-            open_request.first_possibly_executed() is None
+            first_possibly_executed(open_request.attempts) is None
             or idempotency is Idempotency.SAFE
             or deduped_everywhere
         )
@@ -1213,24 +1168,17 @@
                 f"requests {self.request_count} admission {self.admission_share:.2f} "
                 f"overload {self.overload_level:.2f} open {len(self.open_requests)} "
                 f"failed watches {self.watch_failures} "
-                f"gave up {_format_counts(self.give_up_counts)}"
+                f"gave up {format_counts(self.give_up_counts)}"
             )
         )
-        if self.longest_start_waits:
-            self.actions.append(
-                Log(
-                    f"longest waits for a connection in ms {_format_counts(self.longest_start_waits)} "
-                    f"latest repeats in ms {_format_counts(self.latest_repeats)}"
-                )
-            )
+        if text := self.start_statistics.take_report():
+            self.actions.append(Log(text))
         self._log_servers(now)
         self.give_up_counts.clear()
-        self.longest_start_waits.clear()
-        self.latest_repeats.clear()
 
     def _count_outcome(self, server: Server, name: str, outcome: Outcome) -> None:
-        _increment(self.outcome_counts, name)
-        _increment(server.outcome_counts, name)
+        increment(self.outcome_counts, name)
+        increment(server.outcome_counts, name)
         server.failure_count += outcome not in NON_FAILURE_OUTCOMES
 
     def _log_servers(self, now: int) -> None:
@@ -1249,7 +1197,7 @@
                 f"in-flight limit {sum(s.in_flight_limit for s in known):.2f} "
                 f"in flight {sum(s.in_flight for s in known)} "
                 f"failing {sum(s.failure_count > 0 for s in known)} "
-                f"outcomes {_format_counts(self.outcome_counts)}"
+                f"outcomes {format_counts(self.outcome_counts)}"
             )
         )
         for s in sorted(known, key=lambda s: (-s.failure_count, -s.mean_latency_share, s.entry.id))[
@@ -1259,7 +1207,7 @@
                 Log(
                     f"server {s.entry.id:x} zone {s.entry.zone} in-flight limit {s.in_flight_limit:.2f} "
                     f"in flight {s.in_flight} latency/target {s.mean_latency_share:.2f} "
-                    f"outcomes {_format_counts(s.outcome_counts)}"
+                    f"outcomes {format_counts(s.outcome_counts)}"
                 )
             )
         for s in known:
--- a/emulator/fleet/hollow.py
+++ b/emulator/fleet/hollow.py
@@ -283,8 +283,12 @@
         )
         open_try.attempts.append(attempt)
         open_try.attempts_in_flight += 1
-        is_too_late = 0 < action.start_before <= now
-        if server is None or open_try.is_closed or until <= now or is_too_late:
+        if (
+            server is None
+            or open_try.is_closed
+            or until <= now
+            or not self._decision_module.try_start_attempt(now, open_try.name, attempt.index)
+        ):
             self.counts.not_sent += 1
             self.effects.add_timer(now, partial(self._end_without_response, attempt, Outcome.NOT_SENT))
             return
--- a/emulator/slopes/module_host.py
+++ b/emulator/slopes/module_host.py
@@ -84,6 +84,8 @@
             for action in self._process_actions(self.balancer.on_request(self.now_ns, request))
             if isinstance(action, Send)
         ]
+        for attempt_index in range(len(sends)):
+            self.balancer.try_start_attempt(self.now_ns, request_id, attempt_index)
         self.now_ns += SERVICE_TIME_NS
         for attempt_index, send in enumerate(sends):
             self.attempts_by_server[send.server_id] = self.attempts_by_server.get(send.server_id, 0) + 1
--- a/tests/emulator/fleet_fakes.py
+++ b/tests/emulator/fleet_fakes.py
@@ -193,6 +193,10 @@
         """Send one attempt to each target."""
         return [Send(request.id, server, 0) for server in self.targets]
 
+    def try_start_attempt(self, now: int, request_id: str, attempt_index: int) -> bool:
+        """Let each attempt start."""
+        return True
+
     def on_attempt_end(self, now: int, end: AttemptEnd) -> list[Action]:
         """Record the end of the attempt."""
         self.attempt_ends.append(end)
--- a/tests/node/stubs.py
+++ b/tests/node/stubs.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from math import inf
 from typing import Any
 
 import uvloop
@@ -277,17 +278,19 @@
 
 
 class ConnectGate:
-    """Wraps the event loop of a pool so that its connects wait until `opened` is set."""
+    """Wraps a pool's event loop so that its first `held_connects` connects wait until `opened` is set."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, held_connects: float = inf) -> None:
         self.loop = pool.loop
+        self.held_connects = held_connects
         self.connect_count = 0
         self.opened = asyncio.Event()
         pool.loop = self  # type: ignore[assignment]
 
     async def create_connection(self, *args: Any) -> Any:
         self.connect_count += 1
-        await self.opened.wait()
+        if self.connect_count <= self.held_connects:
+            await self.opened.wait()
         return await self.loop.create_connection(*args)
 
     def __getattr__(self, name: str) -> Any:
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -354,6 +354,38 @@
     run(main())
 
 
+def test_a_first_attempt_whose_connect_outlasts_the_dedup_window_of_its_copy_is_not_sent() -> None:
+    # Guards against a second execution of a keyed request: review/1, 11 to 32 of some 3,000 verdicts.
+    async def main() -> None:
+        stubs = [
+            await StubServer(responds_with(http_response(Connection="close"), close=True)).start()
+            for _ in range(2)
+        ]
+        window = 0.2
+        keyed = settings(services=[service("set", "token", windowNs=int(window * 1e9), goalTimeNs=10**8)])
+        async with running_balancer(*stubs, settings=keyed) as balancer:
+            for n in range(100):  # a copy goes to a server that has answered
+                if all(stub.requests for stub in stubs):
+                    break
+                assert status(await balancer.fetch(http_request("set", request_id=f"w{n}"))) == 200
+            for stub in stubs:
+                stub.requests.clear()
+                stub.handler = resets_connection
+            gate = ConnectGate(balancer.frontend.driver.pool, held_connects=1)
+            client = await balancer.connect()
+            client.writer.write(http_request("set"))
+            await wait_until(lambda: any(stub.requests for stub in stubs))
+            executed_at = time.monotonic()
+            assert gate.connect_count == 2, "a copy has run, and the first attempt still has no connection"
+            await wait_until(lambda: time.monotonic() > executed_at + window)
+            gate.opened.set()
+            assert status(await read_message(client.reader)) == 500
+            assert sum(len(stub.requests) for stub in stubs) == 1
+            client.writer.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("class_name", ["check", "set", "send"])
 def test_attempts_that_must_not_be_cancelled_end_at_the_deadline(class_name: str) -> None:
     """An attempt that outlives its client must not stay open for as long as its server hangs."""
--- a/tests/test_attempt_starts.py
+++ b/tests/test_attempt_starts.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
+
 from dykeshift.interface import ListKind, Log, Outcome
 from tests.harness import CLASSES, KEYED_ALL, MS, BalancerHarness, S, make_settings, server_entry
 
+WINDOW = KEYED_ALL.dedup_window
+
 
 def harness_with_warm_servers(**changes: object) -> BalancerHarness:
     """Six ready servers, each of which has answered, so that a delayed copy finds an idle one."""
@@ -43,5 +49,59 @@
     harness.end_all_attempts(request_id, Outcome.OK)
     harness.advance(S)
     texts = [action.text for action in harness.actions if isinstance(action, Log)]
-    expected = f"in ms set/1:{waited // MS} set/2:7 latest repeats in ms set:7"
+    expected = f"in ms set/1:{waited // MS} set/2:7 latest repeats in ms set:7 starts refused -"
     assert any(text.endswith(expected) for text in texts)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.ERROR, None])
+def test_a_first_attempt_is_not_started_after_the_window_of_a_copy_that_may_have_run(
+    outcome: Outcome | None,
+) -> None:
+    # Guards against a second execution of a keyed request whose first attempt has a late connection.
+    harness = harness_with_warm_servers()
+    request_id = submit_with_delayed_copy(harness)
+    assert start(harness, request_id, 1)
+    if outcome is not None:  # otherwise the copy is still out
+        harness.end_attempt(request_id, 1, outcome)
+    harness.advance(WINDOW)
+    assert not start(harness, request_id, 0)
+    harness.end_attempt(request_id, 0, Outcome.NOT_SENT)
+    harness.finish_all_requests()
+
+
+def test_a_first_attempt_is_started_within_the_window_of_a_copy_that_may_have_run() -> None:
+    harness = harness_with_warm_servers()
+    request_id = submit_with_delayed_copy(harness)
+    assert start(harness, request_id, 1)
+    harness.advance(WINDOW - 1)
+    assert start(harness, request_id, 0)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT])
+def test_a_first_attempt_is_started_however_late_if_nothing_can_have_run(outcome: Outcome) -> None:
+    harness = harness_with_warm_servers()
+    request_id = submit_with_delayed_copy(harness)
+    assert outcome is not Outcome.FULL or start(harness, request_id, 1)
+    harness.end_attempt(request_id, 1, outcome)
+    harness.advance(WINDOW)
+    assert start(harness, request_id, 0)
+
+
+def test_the_window_of_a_first_attempt_with_a_late_connection_begins_at_its_start() -> None:
+    harness = harness_with_warm_servers()
+    request_id = submit_with_delayed_copy(harness)
+    harness.advance(WINDOW)
+    assert start(harness, request_id, 0)
+    harness.advance(WINDOW - 1)
+    assert start(harness, request_id, 1)
+
+
+@pytest.mark.parametrize("change", [{"copies_allowed": False}, {"max_attempts": 1}])
+def test_no_copy_is_started_once_new_settings_forbid_it(change: dict[str, object]) -> None:
+    # Guards against a second attempt beside the first one that was decided on under the old settings.
+    harness = harness_with_warm_servers()
+    request_id = submit_with_delayed_copy(harness)
+    harness.settings = replace(harness.settings, **change)  # type: ignore[arg-type]
+    harness.execute(harness.balancer.on_settings(harness.now, harness.settings))
+    assert start(harness, request_id, 1)
+    assert not start(harness, request_id, 0)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -176,10 +176,11 @@
 
 
 def test_the_decision_module_has_no_access_to_clock_files_or_environment() -> None:
-    statements = [n for path in DECISION_FILES for n in ast.walk(ast.parse(path.read_text()))]
+    files = [*DECISION_FILES, DECISION_FILES[0].with_name("log_counts.py")]
+    statements = [n for path in files for n in ast.walk(ast.parse(path.read_text()))]
     imported = {a.name for n in statements if isinstance(n, ast.Import) for a in n.names}
     imported |= {n.module or "" for n in statements if isinstance(n, ast.ImportFrom)}
-    own = {"dykeshift.interface", "dykeshift.attempts", "dykeshift.server_state"}
+    own = {f"dykeshift.{name}" for name in ("interface", "attempts", "server_state", "log_counts")}
     assert imported <= {"__future__", "array", "bisect", "dataclasses", "random"} | own
     names = {n.id for n in statements if isinstance(n, ast.Name)}
     assert not names & {"open", "eval", "exec", "hash", "id", "__import__", "print", "input"}
