Ask whether a waiting request may have one more attempt when a server is found

The timer of a waiting request called _dispatch, and the callers of _dispatch had to ask before. Change: _dispatch asks, wherever it is called from, and the callers don't. Nothing else changes: a timer of a waiting request never fires later than its latency target allows.

--- a/dykeshift/attempts.py
+++ b/dykeshift/attempts.py
@@ -82,8 +82,6 @@
         if self.request_class.idempotency is not Idempotency.KEYED or scope is DedupScope.ALL:
             return True
         first = first_possibly_executed(earlier)
-        if first is None:
-            return True
         if scope is DedupScope.ZONE:
-            return first.server.entry.zone == entry.zone
-        return first.server.entry.cell == entry.cell
+            return first is None or first.server.entry.zone == entry.zone
+        return first is None or first.server.entry.cell == entry.cell
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -691,8 +691,11 @@
             return False
         return open_request.request_class.client_timeout - left > open_request.request_class.latency_target
 
-    def _dispatch(self, now: int, open_request: OpenRequest) -> None:
-        """Apply RIQ to a request that has no attempt in flight."""
+    def _dispatch(self, now: int, open_request: OpenRequest, give_up_reason: str = "too-late") -> None:
+        """Apply RIQ to a request that has no attempt in flight; give it up if it may not have one more."""
+        if not self._may_send(now, open_request):
+            self._give_up(now, open_request, give_up_reason)
+            return
         worth = self.relative_worth[open_request.request.class_index] * (
             self.settings.over_quota_worth_share if open_request.over_quota else 1.0
         )
@@ -833,8 +836,8 @@
             open_request.request.deadline - self.settings.min_call_interval,
             open_request.arrived_at + open_request.request_class.latency_target - min_time_left,
         )
-        if now >= until or not self._may_send(now, open_request):
-            self._give_up(now, open_request, "no-room" if self._may_send(now, open_request) else "too-late")
+        if now >= until:
+            self._give_up(now, open_request, "no-room")
             return
         next_search = now + int(open_request.request_class.latency_target * WAIT_INTERVAL_TARGET_SHARE)
         self.actions.append(SetTimer("r:" + open_request.request.id, max(now + 1, min(next_search, until))))
@@ -859,10 +862,7 @@
         if end.request_closed and not open_request.closed:
             self._close(open_request)
         elif not open_request.closed and not open_request.in_flight:
-            if self._may_send(now, open_request):
-                self._dispatch(now, open_request)
-            else:
-                self._give_up(now, open_request, end.outcome.name)
+            self._dispatch(now, open_request, end.outcome.name)
         self._remove_if_finished(open_request)
         return self._take_actions()
 
@@ -1103,7 +1103,10 @@
         elif token.startswith("r:"):
             open_request = self.open_requests.get(token[2:])
             if open_request is not None and not open_request.closed:
-                (self._send_delayed_copy if open_request.in_flight else self._dispatch)(now, open_request)
+                if open_request.in_flight:
+                    self._send_delayed_copy(now, open_request)
+                else:
+                    self._dispatch(now, open_request)
         return self._take_actions()
 
     def _sweep(self, now: int) -> None:
--- a/tests/test_attempt_starts.py
+++ b/tests/test_attempt_starts.py
@@ -105,3 +105,18 @@
     harness.execute(harness.balancer.on_settings(harness.now, harness.settings))
     assert start(harness, request_id, 1)
     assert not start(harness, request_id, 0)
+
+
+def test_a_waiting_keyed_request_gets_no_attempt_after_its_window() -> None:
+    # Guards against a repeat that is decided on after a wait for a server that outlasts the window.
+    short = replace(KEYED_ALL, dedup_window=50 * MS)
+    harness = BalancerHarness(make_settings(classes=(short,)))
+    harness.update_server_list(ListKind.CACHED, server_entry(0))
+    request_id = harness.submit()
+    harness.end_attempt(request_id, 0, Outcome.ERROR)
+    harness.advance(short.dedup_window)
+    assert not harness.requests[request_id].final_answer, "it should wait for a server"
+    harness.update_server_list(ListKind.DELTA, server_entry(1))
+    harness.finish_all_requests()  # the harness checks the window of each attempt
+    assert harness.requests[request_id].server_ids == [0]
+    assert harness.requests[request_id].final_answer == "Refuse"
