Dispatch a request that had no attempt as before, even with no time left

Cause: _dispatch asked since whether a request may have one more attempt for requests that had none yet too. Change: the question is asked of requests that had an attempt. Starts, settings, decisions, histories, regressions, wire: 149 passed.

--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -693,7 +693,7 @@
 
     def _dispatch(self, now: int, open_request: OpenRequest, give_up_reason: str = "too-late") -> None:
         """Apply RIQ to a request that has no attempt in flight; give it up if it may not have one more."""
-        if not self._may_send(now, open_request):
+        if open_request.attempts and not self._may_send(now, open_request):
             self._give_up(now, open_request, give_up_reason)
             return
         worth = self.relative_worth[open_request.request.class_index] * (
