Let SIGINT end slopes measurements that a script started in the background

Cause: test_sigint_stops_all_child_processes failed once, with exit code 0 instead of 130, in a ./check that a script had started in the background. A shell without job control starts such jobs with SIGINT ignored, Python then installs no handler for it, and the measurement went on to its end. The commands fleet and control install theirs themselves. Change: slopes installs Python's handler, like the other two. The test is unchanged.

--- a/emulator/slopes/command.py
+++ b/emulator/slopes/command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from datetime import UTC, datetime
 from pathlib import Path
@@ -134,6 +135,8 @@
     run = MeasurementRun(plan)
     if not run.tasks():
         raise BadInputError("none of these roles has any of these axes")
+    # A shell without job control starts its background jobs with this signal ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     folder = _make_folder(options["out"])
     completed = _measure_all(run, Console(stderr=True))
     rows = run.rows()
