Test that a SIGHUP at the very end of a shutdown does not end the process, known to fail

Cause: closing the event loop restores the default handler of SIGHUP, which ends the process if it comes before the exit.

--- a/tests/node/test_program.py
+++ b/tests/node/test_program.py
@@ -309,6 +309,21 @@
     run(main())
 
 
+def test_sighup_at_the_very_end_of_a_shutdown_does_not_end_the_process(tmp_path: Path) -> None:
+    # Guards against an exit by SIGHUP once the event loop is closed, which restores the default handler.
+    async def main() -> None:
+        stub = await StubServer(never_responds).start()
+        async with balancer_process(stub, tmp_path) as (process, _):
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            assert await process.wait() == 0
+
+    run(main())
+
+
 MEMORY_PROBE = """
 def resident():
     with open("/proc/self/statm") as file:
