Review: case 6 is now an unsafe request that runs twice after a second answer

A photo server without TCP_NODELAY answers twice within 4 ms; the system holds the second answer until the next request.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,15 +1,18 @@
-"""A photo server that sometimes answers a request twice, the second time some milliseconds late."""
+"""Photo servers that sometimes answer twice, and turn some requests away; some requests must not run twice.
+
+The photo servers write the second answer at most 4 ms after the first, on sockets without TCP_NODELAY.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from random import Random
 
 from standins import (
     PHOTO,
     TROUBLE,
-    VERDICT,
     CannotRun,
     Case,
     Client,
@@ -18,74 +21,81 @@
     PhotoServer,
     answer,
     main,
+    service,
     settings,
 )
 
-SECONDS = 25.0
+SECONDS = 30.0
 CLIENTS = 12
 MEAN_PAUSE_S = 0.05
+TURNED_AWAY_SHARE = 0.1  # queue full: never run, with or without the disruption
 SECOND_ANSWER_SHARE = 0.1
-# The lateness is drawn from the first two; an answer that would come later than the third is left out.
-MIN_LATENESS_S, MAX_DRAWN_LATENESS_S, MAX_LATENESS_S = 0.004, 0.009, 0.0099
+MAX_DRAWN_LATENESS_S, MAX_LATENESS_S = 0.003, 0.004
+ORDER = service("ordre", "side_effect", 400, 1200, 0)
 
 
 async def play(case: Case) -> list[str]:
     record, random = case.record, Random(6)
-    made: dict[str, set[bytes]] = {}
+    runs: dict[str, list[str]] = {}  # by request id: the servers that ran it
+    made: dict[str, set[bytes]] = {}  # by request id: the bodies of 200 answers
     second_answers = 0
 
     async def behave(server: PhotoServer, message: Message, writer: asyncio.StreamWriter) -> None:
         nonlocal second_answers
-        await asyncio.sleep(server.work_s)
         request_id = message.headers["x-request-id"]
-        body = server.body_for(message)
-        made.setdefault(request_id, set()).add(body)
-        writer.write(answer(body))
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+        if random.random() < TURNED_AWAY_SHARE:
+            record(f"{server.name} turns {request_id} away")
+            response = answer(b"queue full", "503 Service Unavailable", "X-Not-Run: 1")
+        else:
+            record(f"{server.name} runs {request_id}")
+            runs.setdefault(request_id, []).append(server.name)
+            await asyncio.sleep(server.work_s)
+            body = server.body_for(message)
+            made.setdefault(request_id, set()).add(body)
+            response = answer(body)
+        writer.write(response)
         answered_at = time.monotonic()
-
-        def answer_again() -> None:
-            nonlocal second_answers
-            lateness_s = time.monotonic() - answered_at
-            if lateness_s <= MAX_LATENESS_S and not writer.is_closing():
-                second_answers += 1
-                record(f"{server.name}: second answer to {request_id}, {lateness_s * 1e3:.1f} ms late")
-                writer.write(answer(body))
-
-        if TROUBLE and random.random() < SECOND_ANSWER_SHARE:
-            lateness_s = random.uniform(MIN_LATENESS_S, MAX_DRAWN_LATENESS_S)
-            asyncio.get_running_loop().call_later(lateness_s, answer_again)
+        if not TROUBLE or random.random() >= SECOND_ANSWER_SHARE:
+            return
+        await asyncio.sleep(random.uniform(0.0, MAX_DRAWN_LATENESS_S))
+        lateness_s = time.monotonic() - answered_at
+        if lateness_s <= MAX_LATENESS_S and not writer.is_closing():
+            second_answers += 1
+            record(f"{server.name}: second answer to {request_id}, {lateness_s * 1e3:.1f} ms after the first")
+            writer.write(response)
 
     discovery = await Discovery(record).start()
     for number in range(4):
         server = await PhotoServer(record, f"s-{number}", work_s=0.012, behave=behave).start()
         discovery.put(server.name, server.address)
-    balancer = case.balancer(
-        "n1", discovery.address, settings([PHOTO, VERDICT]), known=discovery.whole_list()
-    )
+    balancer = case.balancer("n1", discovery.address, settings([PHOTO, ORDER]), known=discovery.whole_list())
     balancer.start()
     await balancer.wait_until_ready()
     until = time.monotonic() + SECONDS
-    breaches: list[str] = []
-    served = 0
+    served, foreign = 0, 0
 
-    async def send_verdicts(number: int) -> None:
-        nonlocal served
+    async def send_orders(number: int) -> None:
+        nonlocal served, foreign
         client, count = Client(record, balancer.listen), 0
         while time.monotonic() < until:
             await asyncio.sleep(random.expovariate(1 / MEAN_PAUSE_S))
             count += 1
             request_id = f"c{number}-{count}"
-            reply = await client.fetch(request_id, "dom", 1200, key=f"key-{request_id}", body=b"passed")
+            reply = await client.fetch(request_id, "ordre", 1200, method="POST", body=b"passed")
             served += reply.status == 200
             if reply.status == 200 and reply.body not in made.get(request_id, ()):
-                breaches.append(f"the client of {request_id} was served {reply.body.decode()!r}")
+                foreign += 1
+                record(f"{request_id} was served {reply.body.decode()!r}")
         client.close()
 
-    await asyncio.gather(*(send_verdicts(number) for number in range(CLIENTS)))
-    record.say(f"{served} requests served, {second_answers} second answers")
+    await asyncio.gather(*(send_orders(number) for number in range(CLIENTS)))
+    record.say(f"{served} requests served, {second_answers} second answers, {foreign} foreign answers")
     if served < 1000 or TROUBLE and second_answers < 50:
         raise CannotRun("too few requests or second answers")
-    return breaches
+    return [
+        f"{name} was run by {' and '.join(servers)}" for name, servers in runs.items() if len(servers) > 1
+    ]
 
 
 main(play, __file__)
