Send nothing by a known list that the agent has not confirmed

Cause: a new process in push mode waited for the end of its first call to the agent, also of one that failed, and then served by the list from before its start.

Change: in push mode that list is not used. The process accepts clients once it has a list of its agent, after 8 s at the latest; from then on it is ready, as the platform wants, and refuses requests until the list comes. Until the first list the silence allowed to a call doubles with each failure, so that a slow agent is heard. SIGTERM ends the wait at once. Hollow balancers wait likewise.

--- a/dykeshift/node/__main__.py
+++ b/dykeshift/node/__main__.py
@@ -23,7 +23,7 @@
 from dykeshift.node.service_settings import SettingsApplier
 from dykeshift.node.settings_watch import SettingsWatch
 from dykeshift.node.shutdown import StopSignal, shut_down_gracefully
-from dykeshift.node.startup import load_config_with_retries, new_event_loop
+from dykeshift.node.startup import load_config_with_retries, new_event_loop, wait_first
 from dykeshift.node.upstream import Pool
 from dykeshift.rules import Balancer
 
@@ -76,13 +76,7 @@
     driver.start()
     discovery.apply_known_list(configuration.known_list)
     settings_watch = start_settings_watch(configuration, SettingsApplier(driver, discovery, frontend))
-    if not configuration.settings.watch_discovery:
-        discovery.start()
-        # The balancer counts as informed of all changes that the agent knew of before this process started.
-        # The known list from before the start is used only if the first call to the agent brings no list.
-        await discovery.call_finished.wait()
-    if settings_watch is not None:
-        await settings_watch.wait_until_up_to_date()
+    await wait_first(stop_signal.wait(), prepare_service(discovery, frontend, settings_watch))
     if stop_signal.received_at is not None:  # the time until SIGKILL is running, and no client was accepted
         log.info("shutdown requested before service began; no connection was accepted")
         return
@@ -104,6 +98,22 @@
     )
 
 
+async def prepare_service(
+    discovery: DiscoveryWatch, frontend: Frontend, settings_watch: SettingsWatch[config.Config] | None
+) -> None:
+    """Wait for what a new process has to know before it accepts clients, for a limited time each.
+
+    These are the list of servers if the agent pushes it, and the newest settings if there is an agent for
+    them.
+    """
+    async with asyncio.TaskGroup() as waits:
+        if settings_watch is not None:
+            waits.create_task(settings_watch.wait_until_up_to_date())
+        if discovery.is_pushed:
+            discovery.start()
+            frontend.is_list_overdue = not await discovery.wait_for_first_list()
+
+
 def listen_error(configuration: config.Config, error: OSError) -> config.ConfigError:
     """The error that ends the start when the process cannot listen for clients."""
     host, port = configuration.listen
--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -46,6 +46,12 @@
 PUSH_RETRY_SHARE = 0.2  # time between a failed call and the next one
 
 PUSH_RESPONSE_TIMEOUT_S = 2.0  # for the whole response, while its data keeps arriving
+# Until the first list, in push mode, the time without data doubles with each failed call, this often at most:
+# nothing is sent yet, so an agent may be slow.
+MAX_SILENCE_DOUBLINGS = 3
+# How long a new process waits in push mode for its first list before it accepts clients all the same. The
+# platform wants a restarted balancer to be ready within 10 s.
+FIRST_LIST_WAIT_S = 8.0
 
 # Applies a list to the balancer; returns False if the decision module failed over it.
 ApplyList = Callable[[ListKind, list[ListedServer]], bool]
@@ -84,28 +90,47 @@
         self.has_servers = False  # an earlier list has servers, so requests are being sent
         self.generation: int | None = None  # None: the full list is requested next
         self.last_call_failed = False  # in the push mode, the call after a failed one is not held
-        self.call_finished = asyncio.Event()  # set once any call has ended, also a failed one
+        self.list_received = asyncio.Event()  # set once a list of discovery has been applied
+        self.silence_doublings = 0  # failed calls before the first list, up to MAX_SILENCE_DOUBLINGS
         self.watch_task: asyncio.Task[None] | None = None
 
     def apply_known_list(self, known: ServerListing[ServerRow] | None) -> None:
         """Apply the list from before the start, and consume it.
 
-        The list may be old, invalid or missing. It is used until discovery responds. In the push mode the
-        full list is requested all the same: the known list's generation may be that of another discovery,
-        and changes since that generation would not include what changed before. In the ask mode each call
-        takes a share of what discovery can do for all balancers, and a long poll that continues from this
-        generation is the only call that a start needs.
+        The list may be old, invalid or missing. In the ask mode it is used until discovery responds: each
+        call takes a share of what discovery can do for all balancers, and a long poll that continues from
+        this generation is the only call that a start needs.
+
+        In the push mode it is not used. The balancer counts as informed of what the agent has from the first
+        moment of its process, and only the agent's own list tells what that is.
         """
         if known is None:
             return
+        if self.is_pushed:
+            known.servers.clear()
+            return
         self.has_servers = bool(known.servers)
         rows, servers = known.servers, list[ListedServer]()
         rows.reverse()
         while rows:  # frees each row as it is converted, so that the list is never held in both forms
             servers.append(self.reader.convert(rows.pop()))
         self.apply_list(ListKind.CACHED, servers)
-        if not self.is_pushed:
-            self.generation = known.generation
+        self.generation = known.generation
+
+    async def wait_for_first_list(self) -> bool:
+        """Wait until a list of discovery has been applied, at most FIRST_LIST_WAIT_S; return whether it has.
+
+        Without one, a process in push mode has no servers, and refuses requests until the list arrives.
+        """
+        try:
+            async with asyncio.timeout(FIRST_LIST_WAIT_S):
+                await self.list_received.wait()
+        except TimeoutError:
+            log.warning(
+                "no server list within %.0f s; requests are refused until it comes", FIRST_LIST_WAIT_S
+            )
+            return False
+        return True
 
     def start(self) -> None:
         """Start the watch, unless it is running; it continues by itself after each response."""
@@ -136,10 +161,11 @@
             if not self.last_call_failed:
                 log.warning("the discovery watch fails: %s", str(exc) or "no response")
             self.last_call_failed = True
+            if not self.list_received.is_set():
+                self.silence_doublings = min(self.silence_doublings + 1, MAX_SILENCE_DOUBLINGS)
             failure = ListKind.FAILED if isinstance(exc, UnusableResponse) else ListKind.INTERRUPTED
         finally:  # closes only its own connection: after a change of address another watch is running
             client.close()
-            self.call_finished.set()
         self.watch_task = None
         self.on_failure(failure)
         if self.is_pushed:  # the decision module asks for a watch only in the ask mode
@@ -157,16 +183,18 @@
             hold_ms = 0 if self.is_pushed and self.last_call_failed else LONG_POLL_MS
             path += f"?from={self.generation}&hold_ms={hold_ms}"
         if self.is_pushed and not hold_ms:
-            return await client.call(
-                path, PUSH_RESPONSE_TIMEOUT_S, max_silence_s=PUSH_SILENCE_SHARE * self.drain_grace_s
-            )
+            return await client.call(path, PUSH_RESPONSE_TIMEOUT_S, max_silence_s=self._max_silence_s())
         return await client.call(path, hold_ms / 1000 + LONG_POLL_GRACE_S)
 
+    def _max_silence_s(self) -> float:
+        """Time without data after which a call in push mode has failed."""
+        doublings = 0 if self.list_received.is_set() else self.silence_doublings
+        return PUSH_SILENCE_SHARE * self.drain_grace_s * (1 << doublings)
+
     def _on_call_succeeded(self) -> None:
         if self.last_call_failed:
             log.info("the discovery watch works again")
         self.last_call_failed = False
-        self.call_finished.set()
 
     async def _apply_response(self, response: Response) -> bool:
         """Apply the list in the response; return False if it is unusable.
@@ -207,4 +235,6 @@
         is_applied = self.apply_list(ListKind.FULL if is_full else ListKind.DELTA, listing.servers)
         # After a failure the decision module may hold part of the list, so the full list is requested.
         self.generation = generation if is_applied else None
+        if is_applied:
+            self.list_received.set()
         return is_applied
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -78,6 +78,7 @@
         # If stopping, /ready answers that the balancer is not ready.
         self.is_stopping = self.closes_after_response = False
         self.refuses_requests = False
+        self.is_list_overdue = False  # the first server list did not come in time for the start
         self.sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self.close_timed_out_connections)
         self.stall_detector = StallDetector(loop)
 
@@ -85,7 +86,14 @@
         return ClientConnection(self)
 
     def is_ready(self) -> bool:
-        return not self.is_stopping and self.driver.pool.has_ready_server()
+        """Whether clients may come.
+
+        They may if a server is ready. They may as well if discovery is silent for long after the start: the
+        platform limits how long a start may take, and requests are refused until there is a list.
+        """
+        pool = self.driver.pool
+        is_start_overdue = self.is_list_overdue and not pool.has_list
+        return not self.is_stopping and (is_start_overdue or pool.has_ready_server())
 
     def add_connection(self, connection: ClientConnection) -> None:
         """Register a new connection; over the limit, close an idle one, or the new one if none is idle.
--- a/dykeshift/node/startup.py
+++ b/dykeshift/node/startup.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
-from typing import TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
 
 import uvloop
 
@@ -31,6 +31,19 @@
     return _retry(uvloop.new_event_loop, lambda error: isinstance(error, OSError) and is_transient(error))
 
 
+async def wait_first(*coroutines: Coroutine[Any, Any, object]) -> None:
+    """Run these until the first one has ended and cancel the others; its exception is raised here."""
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()
+
+
 def _retry(call: Callable[[], Result], may_retry: Callable[[Exception], bool]) -> Result:
     """Call until it succeeds; retry the errors that allow it for at most START_RETRY_TIMEOUT_S."""
     retry_until = time.monotonic() + START_RETRY_TIMEOUT_S
--- a/dykeshift/node/upstream.py
+++ b/dykeshift/node/upstream.py
@@ -246,6 +246,7 @@
         self.connect_timeout_s = connect_timeout_s
         self.max_idle_s = keepalive_s * MAX_IDLE_KEEPALIVE_SHARE
         self.reuse_delay_s = REUSE_DELAY_S
+        self.has_list = False  # a server list has been applied, perhaps an empty one
         self.listed_servers: dict[int, ListedServer] = {}  # by server ID; without those that are gone
         self.upstreams: dict[int, Upstream] = {}  # by server ID; only servers that have been used
         self.idle_reuse_stats = IdleReuseStats()
@@ -272,6 +273,7 @@
 
     def replace_servers(self, servers: list[ListedServer]) -> None:
         """Apply a full server list; servers that are not in it are gone."""
+        self.has_list = True
         self.listed_servers = {}
         for listed in servers:
             if listed.entry.state is not ServerState.GONE:
--- a/emulator/fleet/hollow_discovery.py
+++ b/emulator/fleet/hollow_discovery.py
@@ -87,9 +87,9 @@
         """Start a watch, unless one is running."""
         self._watch.start()
 
-    async def wait_first_call(self) -> None:
-        """Wait until the first call to discovery has ended, with or without a list."""
-        await self._watch.call_finished.wait()
+    async def wait_for_first_list(self) -> None:
+        """Wait until there is a list of discovery, for as long as a real balancer waits at its start."""
+        await self._watch.wait_for_first_list()
 
     def stop(self) -> None:
         """Stop the watch permanently."""
--- a/emulator/fleet/hollow_host.py
+++ b/emulator/fleet/hollow_host.py
@@ -73,7 +73,7 @@
     # ---- start and stop ----
 
     async def start(self) -> None:
-        """Start a new balancer without any state; it serves once its first call to discovery has ended.
+        """Start a new balancer without any state; it serves once it has a list of discovery.
 
         Raises TimeoutError if that takes longer than READY_TIMEOUT_S; the balancer serves all the same.
         """
@@ -91,7 +91,7 @@
         discovery.start()
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
-                await discovery.wait_first_call()
+                await discovery.wait_for_first_list()
         finally:
             if self._discovery is discovery:
                 self.balancer = balancer
