Limit what an unfinished trailer or chunk extension holds in memory

Clients that write slowly, stop half way through a large request or send heads of many short fields stayed at 15 to 42 MB.

Cause: the limits on the bytes of a chunked request allow four times the largest body, for its framing, and the parser buffers a field without a callback until it ends. A connection is counted with 0.128 MB, and could hold twice that.

Change: input is passed to the parser in pieces of 16 KB; what it has not delivered since its last callback is limited to a head and one piece. Fields of a trailer count, but are not stored. What was read of a request is given up when the driver has its copy and when the response is sent. Responses of servers and agents are read by the same code.

--- a/dykeshift/node/connection.py
+++ b/dykeshift/node/connection.py
@@ -112,7 +112,8 @@
         caller has checked might then no longer hold when the request is written.
         """
         assert self.transport is not None and self.handler is None
-        self.handler, self.response, self.is_reusable, self.bytes_fed = handler, None, False, 0
+        self.handler, self.response, self.is_reusable = handler, None, False
+        self.start_counts()
         self.last_activity = now
         self.transport.write(data)
 
@@ -146,9 +147,7 @@
                 (monotonic() - self.idle_since) * 1e3,
             )
         try:
-            self.parser.feed_data(data)
-            if self.response is None:
-                self.count_bytes(len(data))
+            self.feed(self.parser, data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, UnacceptableMessage):
             is_valid = False
         if self.response is not None:
@@ -208,7 +207,13 @@
         self.transport = self.parser = None
         self.on_lost(self)
 
-    # ---- callbacks of the parser ----
+    # ---- parsing ----
+
+    def is_message_complete(self) -> bool:
+        return self.response is not None
+
+    def has_excess_message(self) -> bool:
+        return self.has_stray_data
 
     def on_message_begin(self) -> None:
         if self.response is not None or self.handler is None:
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -254,9 +254,7 @@
             self.request_started_ns = int(self._earliest_arrival() * 1e9)
             self.last_active_at = self.frontend.loop.time()
         try:
-            self.parser.feed_data(data)
-            if not self.is_complete:
-                self.count_bytes(len(data))
+            self.feed(self.parser, data)
         except httptools.HttpParserUpgrade:
             # The parser does not read the body of such a request, so it would be handled without its body.
             self._reject(ClientResponse(400, b"no upgrade is offered\n"))
@@ -287,7 +285,13 @@
             self.has_open_request = False
             self.frontend.driver.client_disconnected(self.request_id)
 
-    # ---- callbacks of the parser ----
+    # ---- parsing ----
+
+    def is_message_complete(self) -> bool:
+        return self.is_complete
+
+    def has_excess_message(self) -> bool:
+        return self.is_pipelined
 
     def on_message_begin(self) -> None:
         if self.is_complete or self.has_open_request:
@@ -351,6 +355,7 @@
             self.has_open_request = False
             self.abort()
             return
+        self.start_message()  # the driver has its own copy
         self.request_id = self.frontend.driver.new_request_id(client_request)
         try:
             self.frontend.driver.submit(
@@ -377,7 +382,9 @@
             and not self.frontend.closes_after_response
             and (self.response_count > 0 or not self.frontend.is_crowded())
         )
-        self.has_open_request, self.request_started_ns, self.request_id, self.bytes_fed = False, 0, "", 0
+        self.has_open_request, self.request_started_ns, self.request_id = False, 0, ""
+        self.start_counts()
+        self.start_message()  # what was read of the request is not needed any more
         self.frontend.served_connections += not self.response_count
         self.last_active_at, self.response_count = self.frontend.loop.time(), self.response_count + 1
         self.transport.write(encode_response(response, keep_alive))
