Give each client one buffer of input a turn, and read none while it has not read

Cause: nothing bounded what one connection takes in a turn of the event loop. A connection in its lingering close was not closed while input was waiting, and up to 32 buffers of 250 KB of it were read a turn; a request of tiny chunks was parsed at once; requests were read while the responses before were not taken.

Change: all client connections read into one buffer of 16 KB (BufferedProtocol). The time limits of a lingering close and of a response hold whatever has arrived.

--- a/dykeshift/node/http1.py
+++ b/dykeshift/node/http1.py
@@ -64,7 +64,7 @@
         """Whether a message has begun that must not come now; further input is not parsed."""
         raise NotImplementedError
 
-    def feed(self, parser: Parser, data: bytes) -> None:
+    def feed(self, parser: Parser, data: bytes | memoryview) -> None:
         """Pass input to the parser, in pieces, until a message begins that must not come now.
 
         Raises UnacceptableMessage for a message over a limit, and the exceptions of the parser.
--- a/dykeshift/node/listener.py
+++ b/dykeshift/node/listener.py
@@ -30,7 +30,7 @@
 IMMEDIATE_RETRY_ERRORS = frozenset({errno.ECONNABORTED, errno.EINTR, errno.EPROTO})
 
 Result = TypeVar("Result")
-ProtocolFactory = Callable[[], asyncio.Protocol]
+ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 
 class Listener:
@@ -113,7 +113,7 @@
         self.setup_tasks.add(task)
         task.add_done_callback(self.setup_tasks.discard)
 
-    async def _attach_protocol(self, accepted: socket.socket, protocol: asyncio.Protocol) -> None:
+    async def _attach_protocol(self, accepted: socket.socket, protocol: asyncio.BaseProtocol) -> None:
         try:
             accepted.setblocking(False)
             await self.loop.connect_accepted_socket(lambda: protocol, accepted)
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -29,6 +29,7 @@
 # After its last response a client may go on sending for this long. Closing at once would reset the
 # connection, and the client might lose the response.
 LINGERING_CLOSE_TIMEOUT_S = 0.5
+READ_BUFFER_BYTES = 16 * 1024  # input of one client that is handled in a turn of the event loop
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -81,6 +82,7 @@
         self.is_list_overdue = False  # the first server list did not come in time for the start
         self.sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self.close_timed_out_connections)
         self.stall_detector = StallDetector(loop)
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
 
     def new_connection(self) -> ClientConnection:
         return ClientConnection(self)
@@ -107,7 +109,7 @@
         if len(self.connections) > self.max_connections:
             idle = [c for c in self.connections if (c.is_idle() or c.is_lingering()) and c is not connection]
             idle.sort(key=lambda c: (not c.is_lingering(), min(c.response_count, 2), c.last_active_at))
-            next((c for c in idle if not c.has_input()), connection).abort()
+            next((c for c in idle if c.is_lingering() or not c.has_input()), connection).abort()
 
     def close_timed_out_connections(self) -> None:
         now = self.loop.time()
@@ -135,8 +137,13 @@
             connection.refuse_incomplete_request()
 
 
-class ClientConnection(MessageAssembler, asyncio.Protocol):
-    """A client's connection, which carries one request at a time."""
+class ClientConnection(MessageAssembler, asyncio.BufferedProtocol):
+    """A client's connection, which carries one request at a time.
+
+    Of each client at most one buffer of input is read in a turn of the event loop, none while a response has
+    not been taken by the system, and one buffer between two sweeps after the last response. So a client that
+    sends without limit neither delays the others nor makes this process hold responses for it.
+    """
 
     __slots__ = (
         "frontend",
@@ -153,6 +160,7 @@
         "request_started_ns",
         "is_complete",
         "is_pipelined",
+        "has_unwritten",
         "response_count",
     )
 
@@ -165,6 +173,7 @@
         self.has_open_request = False  # a request is complete and has had no response yet
         self.is_complete = False  # the parser has seen the end of a request that is not handled yet
         self.is_pipelined = False  # a request began before the response to the previous one
+        self.has_unwritten = False  # a part of a response has not been passed to the operating system
         self.keep_alive = True
         self.discards_input = False  # the last response has been sent; further input is ignored
         self.request_id = ""  # the driver's id of the open request
@@ -224,8 +233,10 @@
             timed_out = now - self.last_active_at > TRANSFER_TIMEOUT_S
         if timed_out and self.request_started_ns and not self.discards_input:
             self._reject(ClientResponse(408, b"the request did not come in time\n"))
-        elif timed_out and not self.has_input():
+        elif timed_out and not (self.is_idle() and self.has_input()):
             self.abort()
+        else:
+            self._resume_reading()
 
     def refuse_incomplete_request(self) -> None:
         """Refuse the request if only a part of it has arrived."""
@@ -243,9 +254,41 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        # pause_writing is then called as soon as a byte could not be passed to the operating system.
+        self.transport.set_write_buffer_limits(high=0)
         self.frontend.add_connection(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """The buffer of all connections: each read is handled before the next one."""
+        return self.frontend.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle input; if the buffer is full, read on after the other connections have had their turn."""
+        buffer = self.frontend.read_buffer
+        if self.discards_input:
+            self._pause_reading()  # until the next sweep
+        elif nbytes == len(buffer):
+            self._pause_reading()
+            self.frontend.loop.call_soon(self._resume_reading)
+        self._handle_input(buffer[:nbytes])
+
+    def pause_writing(self) -> None:
+        self.has_unwritten = True
+        self._pause_reading()
+
+    def resume_writing(self) -> None:
+        self.has_unwritten = False
+        self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing() and not self.has_unwritten:
+            self.transport.resume_reading()
+
+    def _handle_input(self, data: memoryview) -> None:
         if self.discards_input or self.parser is None:
             return
         if not self.request_started_ns and not self.has_open_request:
