--- a/tests/node/test_floods.py
+++ b/tests/node/test_floods.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from contextlib import suppress
+from functools import partial
 
 import pytest
 
@@ -92,16 +93,19 @@
             await wait_until(lambda: len(balancer.frontend.connections) == 1)
             connection = only_connection(balancer)
             assert connection.transport is not None
-            connection.transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-            )
-            for number in range(100):
-                client.sendall(http_request("check", request_id=f"r{number}"))
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(0.1):
-                        await wait_until(lambda count=number: connection.response_count > count)
-                if connection.response_count <= number:
-                    break
+            server_socket = connection.transport.get_extra_info("socket")
+            server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+            def has_responded(count: int) -> bool:
+                return connection.response_count >= count
+
+            async def send_until_one_is_not_read() -> None:
+                for number in range(1, 100):
+                    client.sendall(http_request("check", request_id=f"r{number}"))
+                    await wait_until(partial(has_responded, number))
+
+            with suppress(TimeoutError):
+                await asyncio.wait_for(send_until_one_is_not_read(), 1.5)
             assert connection.transport.get_write_buffer_size() < 2 * RESPONSE_BYTES
             assert len(stub.requests) < 99
             await wait_until(lambda: not balancer.frontend.connections)  # when a response takes too long
