Don't send requests of clients that closed behind input that is still unread

Cause: the socket is asked whether the client has closed, but a close arrives behind the bytes before it, and not while the receive buffer is full. Timers run before the loop reads, and a request was handled before what had arrived with it. Waits in which the loop reads first held, which excludes the other suspects.

Change: a client waits only if it has not closed and at most one buffer of its input is unread. A complete request is handled once what had arrived behind it has been read.

--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -11,7 +11,7 @@
 from dykeshift.node.driver import FAILED_RESPONSE, ClientResponse, Driver
 from dykeshift.node.http1 import MessageAssembler, UnacceptableMessage, error_status
 from dykeshift.node.requests import BadRequest, RequestReader
-from dykeshift.node.sockets import has_input, has_peer_closed
+from dykeshift.node.sockets import has_input, is_peer_waiting
 from dykeshift.node.stall_detector import StallDetector
 
 log = logging.getLogger(__name__)
@@ -199,9 +199,14 @@
     def has_unsent_response(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
-    def is_connected(self) -> bool:
-        """Whether the client has not closed; a close that the event loop has yet to report counts too."""
-        return self.transport is not None and not has_peer_closed(self.transport.get_extra_info("socket"))
+    def is_waiting(self) -> bool:
+        """Whether the client waits for its response, by all that has arrived, also if it is still unread.
+
+        More input than a buffer during an open request is rejected when it is read.
+        """
+        return self.transport is not None and is_peer_waiting(
+            self.transport.get_extra_info("socket"), READ_BUFFER_BYTES
+        )
 
     def has_input(self) -> bool:
         return self.transport is not None and has_input(self.transport.get_extra_info("socket"))
@@ -305,7 +310,8 @@
             self._reject(ClientResponse(error_status(exc), b"unacceptable or malformed HTTP\n"))
         if self.is_pipelined and not self.discards_input:
             self._reject(ClientResponse(400, b"one request at a time\n"))
-        if self.is_complete:
+        # What has arrived behind the request is read first: a close, or a request that must not come now.
+        if self.is_complete and not self.has_input():
             self.is_complete = False
             self._handle_request()
 
@@ -392,12 +398,6 @@
             self.keep_alive = False  # such a client usually repeats the request at once, without limit
             self.send_response(ClientResponse(exc.status, f"{exc}\n".encode()))
             return
-        assert self.transport is not None
-        # The event loop reports a close that has already arrived only in its next iteration.
-        if has_peer_closed(self.transport.get_extra_info("socket")):
-            self.has_open_request = False
-            self.abort()
-            return
         self.start_message()  # the driver has its own copy
         self.request_id = self.frontend.driver.new_request_id(client_request)
         try:
@@ -406,7 +406,7 @@
                 client_request,
                 self.request_started_ns,
                 self.send_response,
-                self.is_connected,
+                self.is_waiting,
             )
         except Exception:  # a bug in the balancer: an attempt may have been sent, so this is no refusal
             log.exception("unexpected error while starting request %s", client_request.id)
--- a/dykeshift/node/sockets.py
+++ b/dykeshift/node/sockets.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import array
 import errno
+import fcntl
 import select
 import socket
+import termios
+from contextlib import suppress
 from typing import Protocol
 
 
@@ -36,6 +40,28 @@
     return bool(poll.poll(0))
 
 
+def is_peer_waiting(connection: HasDescriptor, max_unread_bytes: int) -> bool:
+    """Whether the peer may still wait for a response, by what has arrived and is still unread.
+
+    It does not after a close. Nor does it if more than `max_unread_bytes` are unread, which a peer that waits
+    does not send: behind them there may be a close that has not arrived, as the system takes no more input.
+    """
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLIN | select.POLLRDHUP)
+    events = dict(poll.poll(0)).get(connection.fileno(), 0)
+    if events & ~select.POLLIN:
+        return False
+    return not events or unread_byte_count(connection) <= max_unread_bytes
+
+
+def unread_byte_count(connection: HasDescriptor) -> int:
+    """How many bytes have arrived that the event loop has not read; 0 if the system does not tell."""
+    count = array.array("i", [0])
+    with suppress(OSError):
+        fcntl.ioctl(connection.fileno(), termios.FIONREAD, count)
+    return count[0]
+
+
 def acknowledge_received_bytes(connection: TcpSocket) -> None:
     """Acknowledge all bytes received so far now; by itself, the system may do so up to 40 ms later.
 
--- a/tests/node/test_disconnects_and_long_lists.py
+++ b/tests/node/test_disconnects_and_long_lists.py
@@ -17,6 +17,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,7 @@
 from dykeshift.interface import Action, SetTimer
 from dykeshift.node import listing as listing_module
 from dykeshift.node.discovery import MAX_LIST_BYTES
+from dykeshift.node.server import READ_BUFFER_BYTES
 from tests.node.stubs import (
     ConnectGate,
     Message,
@@ -50,7 +52,18 @@
 
 WITH_AND_WITHOUT_CANCELLING = pytest.mark.parametrize("cancelling", [True, False])
 EACH_CLASS = pytest.mark.parametrize("class_name", ["check", "set", "send"])
-CLOSED_OR_RESET = pytest.mark.parametrize("reset", [False, True], ids=["closes", "resets"])
+
+
+class Departure(Enum):
+    """How a client disconnects."""
+
+    CLOSE = "closes"
+    RESET = "resets"
+    # The balancer's system takes no more input, so that the close arrives only when much has been read.
+    CLOSE_BEHIND_UNREAD_INPUT = "closes behind unread input"
+
+
+EACH_DEPARTURE = pytest.mark.parametrize("departure", Departure, ids=lambda departure: departure.value)
 
 
 @dataclass
@@ -94,9 +107,15 @@
         self.socket = socket.create_connection(balancer.address)
         self.socket.sendall(data)
 
-    def disconnect(self, reset: bool = False) -> None:
-        if reset:
+    def disconnect(self, departure: Departure) -> None:
+        """Close the connection, behind as many further requests as the systems take if so wanted."""
+        if departure is Departure.RESET:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        if departure is Departure.CLOSE_BEHIND_UNREAD_INPUT:
+            self.socket.setblocking(False)
+            with suppress(BlockingIOError):
+                while True:
+                    self.socket.send(http_request("check", request_id="further") * 1000)
         self.socket.close()
 
 
@@ -128,11 +147,32 @@
     writer.write(http_response(b"", "503 Service Unavailable", X_Not_Run="1"))
 
 
-@CLOSED_OR_RESET
+def test_request_whose_client_closed_behind_unread_input_is_not_sent() -> None:
+    # Guards against: requests sent for a client that has closed its connection with much still unread.
+    empty_size = len(http_request(body=b"x" * 10_000)) - 10_000
+    fills_the_buffer = http_request(body=b"x" * (READ_BUFFER_BYTES - empty_size))
+
+    async def main() -> None:
+        stub = await StubServer(responds_with(http_response())).start()
+        async with running_balancer(stub) as balancer:
+            balancer.frontend.driver.pool.reuse_delay_s = 0.0  # a request is sent as soon as it is handled
+            await warm_up(balancer, stub)
+            client = BlockingClient(balancer, b"")
+            await wait_until(lambda: len(balancer.frontend.connections) == 1)
+            client.socket.sendall(fills_the_buffer)  # the event loop reads nothing until the close
+            client.disconnect(Departure.CLOSE_BEHIND_UNREAD_INPUT)
+            await wait_until(lambda: not balancer.frontend.connections)
+            await wait_until_idle(balancer)
+            assert not stub.requests
+
+    run(main())
+
+
+@EACH_DEPARTURE
 @WITH_AND_WITHOUT_CANCELLING
 @EACH_CLASS
 def test_no_request_is_sent_after_a_disconnect_during_the_reuse_delay_of_a_connection(
-    class_name: str, cancelling: bool, reset: bool
+    class_name: str, cancelling: bool, departure: Departure
 ) -> None:
     async def main() -> None:
         stub = await StubServer(responds_with(http_response())).start()
@@ -145,7 +185,7 @@
             await wait_until(lambda: bool(balancer.frontend.driver.open_requests))
             (upstream,) = pool.upstreams.values()
             assert pool.connection_count == 1 and not upstream.idle_connections  # in its reuse delay
-            client.disconnect(reset)
+            client.disconnect(departure)
             await wait_until(lambda: recorder.gone_request_ids == ["left"])
             await wait_until(lambda: len(upstream.idle_connections) == 1)  # the reuse delay is over
             await wait_until_idle(balancer)
@@ -155,11 +195,11 @@
     run(main())
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @WITH_AND_WITHOUT_CANCELLING
 @EACH_CLASS
 def test_no_request_is_sent_after_a_disconnect_while_all_servers_are_full(
-    class_name: str, cancelling: bool, reset: bool
+    class_name: str, cancelling: bool, departure: Departure
 ) -> None:
     async def main() -> None:
         stub = await StubServer(never_responds).start()
@@ -181,7 +221,7 @@
                     open_request.client_request.id == "left" for open_request in driver.open_requests.values()
                 )
             )
-            client.disconnect(reset)
+            client.disconnect(departure)
             await wait_until(lambda: "left" in recorder.gone_request_ids)
             timers_before = len(recorder.request_timers)
             stub.handler = responds_with(http_response())
@@ -197,11 +237,11 @@
     run(main())
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @WITH_AND_WITHOUT_CANCELLING
 @EACH_CLASS
 def test_no_request_is_sent_after_a_disconnect_while_the_next_attempt_connects(
-    class_name: str, cancelling: bool, reset: bool
+    class_name: str, cancelling: bool, departure: Departure
 ) -> None:
     """The first server rejects the request without executing it, so each class may go to another one."""
 
@@ -216,7 +256,7 @@
             gate.opened.clear()  # only the first connect passes
             await wait_until(lambda: gate.connect_count == 2)
             assert received_request_ids(*stubs) == ["left"]
-            client.disconnect(reset)
+            client.disconnect(departure)
             await wait_until(lambda: recorder.gone_request_ids == ["left"])
             gate.opened.set()
             await wait_until_idle(balancer)
@@ -228,11 +268,11 @@
     run(main())
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @WITH_AND_WITHOUT_CANCELLING
 @pytest.mark.parametrize("class_name", ["check", "set"])
 def test_no_request_is_sent_after_a_disconnect_while_a_delayed_copy_connects(
-    class_name: str, cancelling: bool, reset: bool
+    class_name: str, cancelling: bool, departure: Departure
 ) -> None:
     async def main() -> None:
         stubs = [await StubServer(responds_with(http_response())).start() for _ in range(2)]
@@ -252,7 +292,7 @@
             # The server does not respond, so a copy is started.
             await wait_until(lambda: gate.connect_count == 2)
             assert received_request_ids(*stubs) == ["left"]
-            client.disconnect(reset)
+            client.disconnect(departure)
             await wait_until(lambda: recorder.gone_request_ids == ["left"])
             gate.opened.set()
             await wait_until_idle(balancer)
@@ -271,7 +311,7 @@
 
 async def disconnect_during_stall(
     client: BlockingClient,
-    reset: bool,
+    departure: Departure,
     timer_due_at: Callable[[], int],
     at_end: Callable[[], None] = lambda: None,
 ) -> None:
@@ -285,7 +325,7 @@
 
     def stall() -> None:
         loop.remove_reader(inner)
-        client.disconnect(reset)
+        client.disconnect(departure)
         closed_at = time.monotonic_ns()
         while time.monotonic_ns() <= max(timer_due_at(), closed_at) + MAX_ATTEMPT_DELAY_NS:
             pass
@@ -298,9 +338,11 @@
         await is_over.wait()
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @EACH_CLASS
-def test_no_waiting_request_is_sent_after_a_disconnect_during_a_stall(class_name: str, reset: bool) -> None:
+def test_no_waiting_request_is_sent_after_a_disconnect_during_a_stall(
+    class_name: str, departure: Departure
+) -> None:
     """The request's next search for a server would find one that accepts it, with an idle connection."""
 
     async def main() -> None:
@@ -314,7 +356,7 @@
             client = BlockingClient(balancer, http_request(class_name, request_id="left"))
             await wait_until(lambda: recorder.latest_timer("left") > 0)
             server.backoff_until = 0
-            await disconnect_during_stall(client, reset, lambda: recorder.latest_timer("left"))
+            await disconnect_during_stall(client, departure, lambda: recorder.latest_timer("left"))
             await wait_until(lambda: "left" in recorder.gone_request_ids)
             await wait_until_idle(balancer)
             assert "left" not in received_request_ids(stub)
@@ -322,10 +364,10 @@
     run(main())
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @EACH_CLASS
 def test_no_attempt_uses_a_connection_after_its_reuse_delay_and_a_disconnect_during_a_stall(
-    class_name: str, reset: bool
+    class_name: str, departure: Departure
 ) -> None:
     async def main() -> None:
         stub = await StubServer(responds_with(http_response())).start()
@@ -337,7 +379,7 @@
             client = BlockingClient(balancer, http_request(class_name, request_id="left"))
             await wait_until(lambda: bool(driver.open_requests))
             delay_ends_at = time.monotonic_ns() + int(driver.pool.reuse_delay_s * 1e9)
-            await disconnect_during_stall(client, reset, lambda: delay_ends_at)
+            await disconnect_during_stall(client, departure, lambda: delay_ends_at)
             await wait_until(lambda: recorder.gone_request_ids == ["left"])
             await wait_until_idle(balancer)
             assert received_request_ids(stub) == ["first"]
@@ -345,9 +387,11 @@
     run(main())
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @pytest.mark.parametrize("class_name", ["check", "set"])
-def test_no_delayed_copy_is_sent_after_a_disconnect_during_a_stall(class_name: str, reset: bool) -> None:
+def test_no_delayed_copy_is_sent_after_a_disconnect_during_a_stall(
+    class_name: str, departure: Departure
+) -> None:
     async def main() -> None:
         stubs = [await StubServer(responds_with(http_response())).start() for _ in range(2)]
         async with running_balancer(*stubs) as balancer:
@@ -357,7 +401,7 @@
             recorder = ClientGoneRecorder.attach(balancer)
             client = BlockingClient(balancer, http_request(class_name, request_id="left"))
             await wait_until(lambda: bool(received_request_ids(*stubs)))
-            await disconnect_during_stall(client, reset, lambda: recorder.latest_timer("left"))
+            await disconnect_during_stall(client, departure, lambda: recorder.latest_timer("left"))
             await wait_until(lambda: recorder.gone_request_ids == ["left"])
             await wait_until_idle(balancer)
             assert received_request_ids(*stubs) == ["left"]
@@ -365,10 +409,10 @@
     run(main())
 
 
-@CLOSED_OR_RESET
+@EACH_DEPARTURE
 @EACH_CLASS
 def test_no_attempt_follows_a_rejected_one_after_a_disconnect_during_a_stall(
-    class_name: str, reset: bool
+    class_name: str, departure: Departure
 ) -> None:
     """A request of any class that was rejected unexecuted may go to the other server, which is connected."""
 
@@ -387,7 +431,7 @@
                     if stub.requests:
                         stub.writers[-1].write(http_response(b"", "503 Service Unavailable", X_Not_Run="1"))
 
-            await disconnect_during_stall(client, reset, lambda: 0, reject_unexecuted)
+            await disconnect_during_stall(client, departure, lambda: 0, reject_unexecuted)
             await wait_until(lambda: recorder.gone_request_ids == ["left"])
             await wait_until_idle(balancer)
             assert received_request_ids(*stubs) == ["left"]
--- a/tests/node/test_process_stalls.py
+++ b/tests/node/test_process_stalls.py
@@ -16,6 +16,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TypeVar
 
@@ -37,7 +38,9 @@
     running_balancer,
 )
 from tests.node.test_disconnects_and_long_lists import (
+    EACH_DEPARTURE,
     BlockingClient,
+    Departure,
     received_request_ids,
     wait_until_idle,
     warm_up,
@@ -94,17 +97,18 @@
         return read
 
 
+@EACH_DEPARTURE
 @pytest.mark.parametrize("class_name", ["check", "send"])
 @pytest.mark.parametrize("reading_number", [1, 2, 3])
 def test_no_attempt_is_written_for_a_client_that_left_during_a_stall(
-    reading_number: int, class_name: str, monkeypatch: pytest.MonkeyPatch
+    reading_number: int, class_name: str, departure: Departure, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def main() -> None:
         stub = await StubServer(responds_with(http_response())).start()
         async with running_balancer(stub) as balancer:
             await warm_up(balancer, stub)
             client = BlockingClient(balancer, http_request(class_name, request_id="left"))
-            stall = ClockStall(monkeypatch, reading_number, b"left", client.disconnect)
+            stall = ClockStall(monkeypatch, reading_number, b"left", partial(client.disconnect, departure))
             await balancer.fetch(http_request("check", request_id="other"))
             await wait_until_idle(balancer)
             assert not stall.has_stalled or "left" not in received_request_ids(stub)
