Don't run an unsafe request again when its id comes again after its client has left

A keyed request might run again beyond its window or in another group.

Cause: an id was known only while an attempt for it was open. A client that leaves has its attempts cancelled, which does not undo what a server has begun, and then nothing was known of the id. Evidence: the second request got 409 while the attempt was open (an older test) and 200 after it; for keyed requests the first one's window and group did not count for the second.

A request with such an id is one more attempt of the earlier one, under the same two questions.

No test of growth or cost changed.

--- a/dykeshift/attempts.py
+++ b/dykeshift/attempts.py
@@ -22,6 +22,7 @@
     ServerEntry,
     Settings,
 )
+from dykeshift.executions import Execution
 from dykeshift.server_state import Server
 
 
@@ -57,6 +58,16 @@
     closed: bool = False
     streaming: bool = False
     over_quota: bool = False  # of its tenant
+    earlier_execution: Execution | None = None  # for an earlier request with the same id of its client
+
+    def first_execution(self, attempts: list[Attempt]) -> Execution | None:
+        """The first possible execution, for an earlier request or by these attempts, or None."""
+        if self.earlier_execution is not None:
+            return self.earlier_execution
+        first = first_possibly_executed(attempts)
+        if first is None:
+            return None
+        return Execution(first.earliest_start(), first.server.entry.zone, first.server.entry.cell)
 
     def started_attempts(self) -> list[Attempt]:
         """The attempts that have been written to a server, whatever became of them."""
@@ -68,12 +79,12 @@
             return False
         if not settings.copies_allowed and any(a.outcome is None for a in earlier):
             return False
-        first = first_possibly_executed(earlier)
+        first = self.first_execution(earlier)
         if first is None or self.request_class.idempotency is Idempotency.SAFE:
             return True
         return (
             self.request_class.idempotency is Idempotency.KEYED
-            and now < first.earliest_start() + self.request_class.dedup_window
+            and now < first.started_at + self.request_class.dedup_window
         )
 
     def is_in_dedup_scope(self, entry: ServerEntry, earlier: list[Attempt]) -> bool:
@@ -81,7 +92,7 @@
         scope = self.request_class.dedup_scope
         if self.request_class.idempotency is not Idempotency.KEYED or scope is DedupScope.ALL:
             return True
-        first = first_possibly_executed(earlier)
+        first = self.first_execution(earlier)
         if scope is DedupScope.ZONE:
-            return first is None or first.server.entry.zone == entry.zone
-        return first is None or first.server.entry.cell == entry.cell
+            return first is None or first.zone == entry.zone
+        return first is None or first.cell == entry.cell
--- a/dykeshift/interface.py
+++ b/dykeshift/interface.py
@@ -112,6 +112,7 @@
     tenant_index: int = 0
     idempotency_key: str | None = None
     answer_deadline: int = 0  # clock time by which the final answer has to be sent; 0: the deadline
+    client_id: str = ""  # the client's own id, which may come again unlike `id`; empty: it never does
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -114,7 +114,8 @@
 
         That is so while the other one is open, and while it may still be executed and one of the two must not
         be executed twice. A request with a response, or without its client, is known until its attempts have
-        ended; its id may be used again before that, for example after a broken connection.
+        ended; its id may be used again before that, for example after a broken connection. What may be sent
+        for it then, and after the attempts have ended, the decision module decides.
         """
         return any(
             open_request.client_request.id == client_request.id
@@ -157,6 +158,7 @@
             cost_hint=client_request.cost_hint,
             is_retry=client_request.is_retry,
             tenant_index=client_request.tenant_index,
+            client_id=client_request.id,
         )
         self._notify_module(self.decision_module.on_request, request, open_request=open_request)
 
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -15,7 +15,8 @@
 from dataclasses import replace
 from random import Random
 
-from dykeshift.attempts import Attempt, OpenRequest, first_possibly_executed
+from dykeshift.attempts import Attempt, OpenRequest
+from dykeshift.executions import Execution, ExecutionLog
 from dykeshift.interface import (
     Action,
     AttemptEnd,
@@ -237,14 +238,14 @@
             groups.append(self.ready_ids_by_cell.setdefault(entry.cell, []))
         return groups
 
-    def ids_in_dedup_scope(self, scope: DedupScope, entry: ServerEntry) -> list[int]:
-        """The ready servers that drop repeats of a keyed request which was sent to this server."""
+    def ids_in_dedup_scope(self, scope: DedupScope, execution: Execution) -> list[int]:
+        """The ready servers that drop repeats of a keyed request with this first execution."""
         if scope is DedupScope.ALL:
             return self.ready_ids
         groups, key = (
-            (self.ready_ids_by_zone, entry.zone)
+            (self.ready_ids_by_zone, execution.zone)
             if scope is DedupScope.ZONE
-            else (self.ready_ids_by_cell, entry.cell)
+            else (self.ready_ids_by_cell, execution.cell)
         )
         return groups.get(key, [])
 
@@ -319,6 +320,7 @@
         self.request_count = self.request_count_at_sweep = self.sweep_count = 0
         self.requests_per_window = 0.0  # in an overload window, running mean
         self.open_requests: dict[str, OpenRequest] = {}
+        self.executions = ExecutionLog()  # of keyed and unsafe requests
         # By class: running mean of the latency of good answers.
         self.usual_latency = [c.latency_target * INITIAL_LATENCY_TARGET_SHARE for c in settings.classes]
         self.min_latency = list(self.usual_latency)  # of quick servers with almost no queue
@@ -560,12 +562,12 @@
 
     def _candidates(self, open_request: OpenRequest) -> list[Server]:
         """The pool, or servers beyond it for the repeat of a keyed request, which few servers drop."""
-        first = first_possibly_executed(open_request.attempts)
+        first = open_request.first_execution(open_request.attempts)
         if first is None or open_request.request_class.idempotency is not Idempotency.KEYED:
             return self.pool
         if len(self.fleet.entries) <= MAX_KNOWN_SERVERS:
             return self.known_ready
-        group = self.fleet.ids_in_dedup_scope(open_request.request_class.dedup_scope, first.server.entry)
+        group = self.fleet.ids_in_dedup_scope(open_request.request_class.dedup_scope, first)
         if len(group) > KEYED_REPEAT_SAMPLE_SIZE:
             group = sorted({group[int(self.random() * len(group))] for _ in range(KEYED_REPEAT_SAMPLE_SIZE)})
         return [self._get_or_create_server(server_id) for server_id in group]
@@ -655,6 +657,8 @@
         open_request = self.open_requests[request.id] = OpenRequest(
             request, request_class, now, over_quota=not self.tenant_quotas.consume(now, request)
         )
+        if request.client_id and request_class.idempotency is not Idempotency.SAFE:
+            open_request.earlier_execution = self.executions.find(now, request.client_id)
         # Counting retries would enlarge the pool and fill every server's connection table.
         self.request_count += not request.is_retry
         may_grow = self.sweep_count < 2 and len(self.pool) < len(self.fleet.ready_ids)
@@ -693,7 +697,8 @@
 
     def _dispatch(self, now: int, open_request: OpenRequest, give_up_reason: str = "too-late") -> None:
         """Apply RIQ to a request that has no attempt in flight; give it up if it may not have one more."""
-        if open_request.attempts and not self._may_send(now, open_request):
+        is_repeat = bool(open_request.attempts) or open_request.earlier_execution is not None
+        if is_repeat and not self._may_send(now, open_request):
             self._give_up(now, open_request, give_up_reason)
             return
         worth = self.relative_worth[open_request.request.class_index] * (
@@ -823,12 +828,20 @@
             self.start_statistics.record_refused(name)
             return False
         self.start_statistics.record_wait(name, attempt_index, now - attempt.decided_at)
-        first = first_possibly_executed(started)
+        first = open_request.first_execution(started)
         if first is not None:
-            self.start_statistics.record_repeat(name, now - first.earliest_start())
+            self.start_statistics.record_repeat(name, now - first.started_at)
         attempt.started_at = now
+        self._record_execution(now, open_request)
         return True
 
+    def _record_execution(self, now: int, open_request: OpenRequest) -> None:
+        """Keep what may have been executed for the client's id, for when it comes again."""
+        client_id = open_request.request.client_id
+        if client_id and open_request.request_class.idempotency is not Idempotency.SAFE:
+            execution = open_request.first_execution(open_request.started_attempts())
+            self.executions.record(now, client_id, execution)
+
     def _wait_for_server(self, now: int, open_request: OpenRequest) -> None:
         """Search again soon, and give up when an answer can no longer be in time."""
         min_time_left = int(MIN_TIME_LEFT_LATENCY_MULTIPLE * self._expected_latency(open_request))
@@ -854,6 +867,7 @@
             return []
         attempt = open_request.attempts[end.attempt_index]
         attempt.outcome = end.outcome
+        self._record_execution(now, open_request)
         self._count_outcome(
             attempt.server, f"{open_request.request_class.name}/{end.outcome.name}", end.outcome
         )
@@ -902,7 +916,7 @@
             idempotency is Idempotency.KEYED and open_request.request_class.dedup_scope is DedupScope.ALL
         )
         is_harmless = (
-            first_possibly_executed(open_request.attempts) is None
+            open_request.first_execution(open_request.attempts) is None
             or idempotency is Idempotency.SAFE
             or deduped_everywhere
         )
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -775,6 +775,40 @@
     run(main())
 
 
+@pytest.mark.parametrize("cancelling", [False, True])
+def test_unsafe_request_does_not_run_again_when_its_id_comes_again(cancelling: bool) -> None:
+    # Guards against: an id runs twice when it comes again after its client has left.
+    async def main() -> None:
+        stub = await StubServer(never_responds).start()
+        async with running_balancer(stub, settings=settings_with_bounds(cancelling=cancelling)) as balancer:
+            first = await balancer.connect()
+            first.writer.write(http_request("send"))
+            await wait_until(lambda: len(stub.requests) == 1)
+            first.writer.close()
+            await wait_until(lambda: not balancer.frontend.connections)
+            stub.writers[0].transport.abort()  # the end of the attempt, if that was not cancelled
+            await wait_until(lambda: not balancer.frontend.driver.open_requests)
+            stub.handler = responds_with(http_response())
+            assert status(await balancer.fetch(http_request("send"))) == 500  # it may have had its effect
+            assert status(await balancer.fetch(http_request("send", request_id="r2"))) == 200
+            assert [message.headers["x-request-id"] for message in stub.requests] == ["r1", "r2"]
+
+    run(main())
+
+
+def test_unsafe_request_that_never_ran_may_come_again() -> None:
+    async def main() -> None:
+        stub = await StubServer(
+            responds_with(http_response(b"", "503 Service Unavailable", X_Not_Run="1"))
+        ).start()
+        async with running_balancer(stub) as balancer:
+            assert status(await balancer.fetch(http_request("send"))) == 503
+            stub.handler = responds_with(http_response())
+            assert status(await balancer.fetch(http_request("send"))) == 200
+
+    run(main())
+
+
 # ---- connection limits and timeouts ----
 
 
