Close the connection of a client that has left as soon as its request is read

Cause: since a complete request waits until what has arrived behind it is read. A close was read too, in the next turn; until then the connection was not idle, and at the limit of connections (187) idle ones of others were closed. With a limit of 409 there was no loss, which excludes the handling of the requests.

Change: what has arrived is told apart: a close ends the connection at once, as before, and only bytes are read first.

--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -11,7 +11,7 @@
 from dykeshift.node.driver import FAILED_RESPONSE, ClientResponse, Driver
 from dykeshift.node.http1 import MessageAssembler, UnacceptableMessage, error_status
 from dykeshift.node.requests import BadRequest, RequestReader
-from dykeshift.node.sockets import has_input, is_peer_waiting
+from dykeshift.node.sockets import Unread, has_input, is_peer_waiting, unread
 from dykeshift.node.stall_detector import StallDetector
 
 log = logging.getLogger(__name__)
@@ -310,8 +310,20 @@
             self._reject(ClientResponse(error_status(exc), b"unacceptable or malformed HTTP\n"))
         if self.is_pipelined and not self.discards_input:
             self._reject(ClientResponse(400, b"one request at a time\n"))
-        # What has arrived behind the request is read first: a close, or a request that must not come now.
-        if self.is_complete and not self.has_input():
+        if self.is_complete:
+            self._handle_unless_more_arrived()
+
+    def _handle_unless_more_arrived(self) -> None:
+        """Handle the complete request, unless something has arrived behind it.
+
+        Its client may have closed, and a further request must not come now. Bytes are read first, as there
+        may be a close behind them. A close alone counts at once: the connection makes room for others.
+        """
+        assert self.transport is not None
+        arrived = unread(self.transport.get_extra_info("socket"))
+        if arrived is Unread.CLOSE:
+            self.abort()
+        elif arrived is Unread.NOTHING:
             self.is_complete = False
             self._handle_request()
 
--- a/dykeshift/node/sockets.py
+++ b/dykeshift/node/sockets.py
@@ -9,6 +9,7 @@
 import socket
 import termios
 from contextlib import suppress
+from enum import Enum, auto
 from typing import Protocol
 
 
@@ -26,18 +27,31 @@
         """Set an option; raises OSError if the system refuses it."""
 
 
-def has_input(connection: HasDescriptor) -> bool:
-    """Whether input has arrived that the event loop has not read: bytes, a close, or a pending connection."""
+class Unread(Enum):
+    """What has arrived at a socket and has not been read by the event loop."""
+
+    NOTHING = auto()
+    INPUT = auto()  # bytes, or a pending connection
+    CLOSE = auto()  # of the peer's sending side at least, or a reset; perhaps behind bytes
+
+
+def unread(connection: HasDescriptor) -> Unread:
+    """What has arrived and has not been read."""
     poll = select.poll()
     poll.register(connection.fileno(), select.POLLIN | select.POLLRDHUP)
-    return bool(poll.poll(0))
+    for _, events in poll.poll(0):
+        return Unread.CLOSE if events & ~select.POLLIN else Unread.INPUT
+    return Unread.NOTHING
+
+
+def has_input(connection: HasDescriptor) -> bool:
+    """Whether input has arrived that the event loop has not read: bytes, a close, or a pending connection."""
+    return unread(connection) is not Unread.NOTHING
 
 
 def has_peer_closed(connection: HasDescriptor) -> bool:
     """Whether the peer has closed, at least its sending side, even if earlier bytes are still unread."""
-    poll = select.poll()
-    poll.register(connection.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return unread(connection) is Unread.CLOSE
 
 
 def is_peer_waiting(connection: HasDescriptor, max_unread_bytes: int) -> bool:
@@ -46,12 +60,10 @@
     It does not after a close. Nor does it if more than `max_unread_bytes` are unread, which a peer that waits
     does not send: behind them there may be a close that has not arrived, as the system takes no more input.
     """
-    poll = select.poll()
-    poll.register(connection.fileno(), select.POLLIN | select.POLLRDHUP)
-    events = dict(poll.poll(0)).get(connection.fileno(), 0)
-    if events & ~select.POLLIN:
-        return False
-    return not events or unread_byte_count(connection) <= max_unread_bytes
+    state = unread(connection)
+    if state is Unread.INPUT:
+        return unread_byte_count(connection) <= max_unread_bytes
+    return state is Unread.NOTHING
 
 
 def unread_byte_count(connection: HasDescriptor) -> int:
