Make the log of executions as cheap as the requests that it remembers

Cause: with a full log each new id deletes the oldest, and the first entry of a plain dict is found by passing over all that were deleted before it.

Change: an OrderedDict, a named tuple, and at the end of an attempt the log is written only if the attempt surely never ran.

--- a/dykeshift/executions.py
+++ b/dykeshift/executions.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import OrderedDict
+from typing import NamedTuple
 
 MAX_AGE_NS = 60_000_000_000  # a client comes again, if at all, in the few seconds for which it waits in total
 MAX_IDS = 4096  # about 0.3 KB each; then the oldest is forgotten
 
 
-@dataclass(frozen=True, slots=True)
-class Execution:
+class Execution(NamedTuple):
     """A possible execution of a request, the first one."""
 
     started_at: int
@@ -25,8 +25,8 @@
     """The first possible execution for each of the latest ids."""
 
     def __init__(self) -> None:
-        # Tuples of numbers: unlike objects, they add no work to garbage collections.
-        self._executions: dict[str, tuple[int, int, int]] = {}  # the oldest first
+        # Plain tuples of numbers: unlike other objects, they add no work to garbage collections.
+        self._executions: OrderedDict[str, tuple[int, ...]] = OrderedDict()  # the oldest first
 
     def __len__(self) -> int:
         return len(self._executions)
@@ -36,22 +36,22 @@
         found = self._executions.get(client_id)
         if found is None or now - found[0] > MAX_AGE_NS:
             return None
-        return Execution(*found)
+        return Execution._make(found)
 
     def record(self, now: int, client_id: str, execution: Execution | None) -> None:
         """Replace what is known of this id; None: nothing was executed."""
         if execution is None:
             self._executions.pop(client_id, None)
             return
-        self._executions[client_id] = (execution.started_at, execution.zone, execution.cell)
-        self._forget_old(now)
+        compact = tuple(execution)
+        if self._executions.get(client_id) != compact:
+            self._executions[client_id] = compact
+            self._executions.move_to_end(client_id)
+            self._forget_old(now)
 
     def _forget_old(self, now: int) -> None:
-        while True:
-            oldest_id = next(iter(self._executions))
-            is_old = now - self._executions[oldest_id][0] > MAX_AGE_NS
-            if not is_old and len(self._executions) <= MAX_IDS:
+        while self._executions:
+            oldest_id, (started_at, *_) = next(iter(self._executions.items()))
+            if now - started_at <= MAX_AGE_NS and len(self._executions) <= MAX_IDS:
                 return
             del self._executions[oldest_id]
-            if not self._executions:
-                return
--- a/dykeshift/rules.py
+++ b/dykeshift/rules.py
@@ -18,6 +18,7 @@
 from dykeshift.attempts import Attempt, OpenRequest
 from dykeshift.executions import Execution, ExecutionLog
 from dykeshift.interface import (
+    UNEXECUTED_OUTCOMES,
     Action,
     AttemptEnd,
     Cancel,
@@ -867,7 +868,8 @@
             return []
         attempt = open_request.attempts[end.attempt_index]
         attempt.outcome = end.outcome
-        self._record_execution(now, open_request)
+        if end.outcome in UNEXECUTED_OUTCOMES:
+            self._record_execution(now, open_request)
         self._count_outcome(
             attempt.server, f"{open_request.request_class.name}/{end.outcome.name}", end.outcome
         )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -184,7 +184,9 @@
     imported |= {n.module or "" for n in statements if isinstance(n, ast.ImportFrom)}
     own_names = ("interface", "attempts", "server_state", "log_counts", "executions")
     own = {f"dykeshift.{name}" for name in own_names}
-    assert imported <= {"__future__", "array", "bisect", "dataclasses", "random"} | own
+    assert (
+        imported <= {"__future__", "array", "bisect", "collections", "dataclasses", "random", "typing"} | own
+    )
     names = {n.id for n in statements if isinstance(n, ast.Name)}
     assert not names & {"open", "eval", "exec", "hash", "id", "__import__", "print", "input"}
     import_froms = [n for n in statements if isinstance(n, ast.ImportFrom)]
