Reuse connections on a system that can't acknowledge at once, whichever way it says so

Cause: ENOPROTOOPT was taken for a system without TCP_QUICKACK, but an older or an emulated one may say EOPNOTSUPP; each response would then have cost its connection. Found by reading; no system at hand says so. Change: both mean that the option is missing. Measured: a test for both; any other error still ends the reuse.

--- a/dykeshift/node/sockets.py
+++ b/dykeshift/node/sockets.py
@@ -84,5 +84,5 @@
     try:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
     except OSError as error:
-        if error.errno != errno.ENOPROTOOPT:
+        if error.errno not in (errno.ENOPROTOOPT, errno.EOPNOTSUPP):
             raise
--- a/tests/node/test_reuse_delay.py
+++ b/tests/node/test_reuse_delay.py
@@ -17,6 +17,7 @@
 
 from dykeshift.interface import Outcome
 from dykeshift.node import connection, upstream
+from dykeshift.node.sockets import acknowledge_received_bytes
 from dykeshift.node.upstream import Pool
 from tests.node.stubs import Message, StubServer, http_response, responds_with, run, wait_until
 from tests.node.test_upstream import RecordedAttempt, create_pool
@@ -246,6 +247,11 @@
     run(main())
 
 
+@pytest.mark.parametrize("error", [errno.ENOPROTOOPT, errno.EOPNOTSUPP])
+def test_system_without_the_option_to_acknowledge_at_once_is_no_failure(error: int) -> None:
+    acknowledge_received_bytes(Mock(setsockopt=Mock(side_effect=OSError(error, "simulated"))))
+
+
 def test_drain_during_the_delay_ends_the_attempt_unsent() -> None:
     async def main() -> None:
         stub = await StubServer(responds_with(http_response())).start()
