Derive whether a response is unwritten, and resume only reading that was paused

Cause: ClientConnection kept a flag has_unwritten beside the transport's own write buffer, from which has_unsent_response() already tells the same.

--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -160,7 +160,6 @@
         "request_started_ns",
         "is_complete",
         "is_pipelined",
-        "has_unwritten",
         "response_count",
     )
 
@@ -173,7 +172,6 @@
         self.has_open_request = False  # a request is complete and has had no response yet
         self.is_complete = False  # the parser has seen the end of a request that is not handled yet
         self.is_pipelined = False  # a request began before the response to the previous one
-        self.has_unwritten = False  # a part of a response has not been passed to the operating system
         self.keep_alive = True
         self.discards_input = False  # the last response has been sent; further input is ignored
         self.request_id = ""  # the driver's id of the open request
@@ -197,6 +195,7 @@
         return self.discards_input and not self.has_unsent_response()
 
     def has_unsent_response(self) -> bool:
+        """Whether a part of a response has not been passed to the operating system."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def is_waiting(self) -> bool:
@@ -240,7 +239,7 @@
             self._reject(ClientResponse(408, b"the request did not come in time\n"))
         elif timed_out and not (self.is_idle() and self.has_input()):
             self.abort()
-        else:
+        elif self.discards_input:
             self._resume_reading()
 
     def refuse_incomplete_request(self) -> None:
@@ -278,11 +277,9 @@
         self._handle_input(buffer[:nbytes])
 
     def pause_writing(self) -> None:
-        self.has_unwritten = True
         self._pause_reading()
 
     def resume_writing(self) -> None:
-        self.has_unwritten = False
         self._resume_reading()
 
     def _pause_reading(self) -> None:
@@ -290,8 +287,9 @@
             self.transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        if self.transport is not None and not self.transport.is_closing() and not self.has_unwritten:
-            self.transport.resume_reading()
+        if self.transport is None or self.transport.is_closing() or self.has_unsent_response():
+            return
+        self.transport.resume_reading()
 
     def _handle_input(self, data: memoryview) -> None:
         if self.discards_input or self.parser is None:
