Start the soak's balancers with an old known list where the agent tells the rest

It counts a new process as told at its start, but wrote the newest list as known, so that nothing was left to be told.

Change: in push mode known is the list of the balancer's first start. In ask mode it is the newest one as before: there a change counts as told later.

--- a/emulator/soak/balancers.py
+++ b/emulator/soak/balancers.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from emulator.deployment import BALANCER_LIMITS, start_balancer
+from emulator.discovery_schema import Listing
 from emulator.faults.shim import Faults, SystemCall
 from emulator.free_ports import reserve_port
 from emulator.soak.connections import CONNECTION_ERRORS
@@ -48,6 +49,7 @@
         self.environment = environment
         self.run_records = run_records
         self.discovery_address_index = 0  # which of its two discovery addresses it uses
+        self.first_list: Listing | None = None  # the server list at its first start
         self.process: asyncio.subprocess.Process | None = None
         self.record: ProcessRecord | None = None
         self.last_stalled_at = -math.inf
@@ -78,7 +80,11 @@
 
     def _write_config(self) -> None:
         host, port = self.discovery.addresses[self.index][self.discovery_address_index]
-        known_list = msgspec.to_builtins(self.discovery.build_listing(None))
+        newest_list = self.discovery.build_listing(None)
+        self.first_list = self.first_list or newest_list
+        # A new process counts as informed of all changes: in push mode whatever its known list is, and in ask
+        # mode because the known list has them.
+        known_list = self.first_list if self.plan.push_mode else newest_list
         config_text = json.dumps(
             {
                 "name": f"n{self.index}",
@@ -86,7 +92,7 @@
                 "discovery": f"{host}:{port}",
                 "seed": f"{self.plan.seed}/{self.index}",
                 "limits": BALANCER_LIMITS,
-                "known": known_list,
+                "known": msgspec.to_builtins(known_list),
                 "settings": {**self.plan.build_settings(), "me": self.index},
             }
         )
--- a/emulator/soak/discovery.py
+++ b/emulator/soak/discovery.py
@@ -128,7 +128,7 @@
                         drain.informed_at.setdefault(agent.balancer_index, informed_at)
 
     def note_process_start(self, balancer_index: int) -> None:
-        """Record that a starting process is informed of all changes: its configuration has the full list."""
+        """Record that a starting process counts as informed of all changes."""
         self._note_informed(balancer_index)
 
     def _note_informed(self, balancer_index: int) -> None:
