Move the responses to clients into a module, and split the connection's longest methods

Cause: server.py held the front end, the client connection and the encoding of responses; the response type stood in driver.py; close_if_timed_out chose among five limits in one expression, and _handle_request read, refused and submitted in one method.

Change: responses.py has the response type, the fixed responses and their encoding. The limits are chosen in _has_timed_out and _keepalive_timeout_s; reading and submitting are methods of their own. Behaviour is unchanged: a connection that discards input has always had a response.

--- a/dykeshift/node/driver.py
+++ b/dykeshift/node/driver.py
@@ -27,6 +27,7 @@
 )
 from dykeshift.node.listing import ListedServer
 from dykeshift.node.requests import ClientRequest
+from dykeshift.node.responses import FAILED_RESPONSE, TIMEOUT_RESPONSE, ClientResponse
 from dykeshift.node.upstream import Attempt, AttemptResult, Pool
 from dykeshift.rules import Balancer
 
@@ -42,16 +43,6 @@
 TIMER_RETRY_DELAY_S = 1.0  # until a timer is reported again after the decision module raised an exception
 
 
-@dataclass(frozen=True, slots=True)
-class ClientResponse:
-    """The final response to a client."""
-
-    status: int
-    body: bytes
-    content_type: bytes = b"text/plain"  # that of the server's response, if one is passed on
-    retry_after_ns: int = 0  # 0: no Retry-After header
-
-
 def response_time_limit_ns(client_timeout_ns: int, latency_target_ns: int) -> int:
     """Time after a request's arrival within which its final response must be sent, in nanoseconds.
 
@@ -63,10 +54,6 @@
     )
 
 
-FAILED_RESPONSE = ClientResponse(500, b"failed: it may have had its effect\n")
-TIMEOUT_RESPONSE = ClientResponse(504, b"failed: no answer in time\n")
-
-
 @dataclass(slots=True, eq=False)
 class OpenRequest:
     """A request, kept until it has had its response and all its attempts have ended."""
--- a/dykeshift/node/server.py
+++ b/dykeshift/node/server.py
@@ -8,9 +8,17 @@
 
 import httptools
 
-from dykeshift.node.driver import FAILED_RESPONSE, ClientResponse, Driver
+from dykeshift.node.driver import Driver
 from dykeshift.node.http1 import MessageAssembler, UnacceptableMessage, error_status
-from dykeshift.node.requests import BadRequest, RequestReader
+from dykeshift.node.requests import BadRequest, ClientRequest, RequestReader
+from dykeshift.node.responses import (
+    FAILED_RESPONSE,
+    NOT_READY_RESPONSE,
+    READY_RESPONSE,
+    SERVICE_ENDED_RESPONSE,
+    ClientResponse,
+    encode_response,
+)
 from dykeshift.node.sockets import Unread, has_input, is_peer_waiting, unread
 from dykeshift.node.stall_detector import StallDetector
 
@@ -30,34 +38,6 @@
 # connection, and the client might lose the response.
 LINGERING_CLOSE_TIMEOUT_S = 0.5
 READ_BUFFER_BYTES = 16 * 1024  # input of one client that is handled in a turn of the event loop
-_REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    501: b"Not Implemented",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
-SERVICE_ENDED_RESPONSE = ClientResponse(503, b"refused: service ends here\n")
-
-
-def encode_response(response: ClientResponse, keep_alive: bool) -> bytes:
-    lines = [
-        b"HTTP/1.1 %d %s" % (response.status, _REASON_PHRASES[response.status]),
-        b"Content-Type: " + response.content_type,
-        b"Content-Length: %d" % len(response.body),
-    ]
-    if response.retry_after_ns:
-        lines.append(b"Retry-After: %.3f" % (response.retry_after_ns / 1e9))
-    if not keep_alive:
-        lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
 
 
 class Frontend:
@@ -213,28 +193,11 @@
     def close_if_timed_out(self, now: float) -> None:
         """Close the connection, or reject its partial request, if its client was too slow or idle too long.
 
-        This frees descriptors. The time for the first request runs from connecting, so that sending single
-        bytes does not extend it, and a client that has had its last response cannot keep its connection open
-        by sending more.
+        This frees descriptors.
         """
         if self.has_open_request:
             return
-        if self.discards_input:
-            timed_out = now - self.last_active_at > (
-                LINGERING_CLOSE_TIMEOUT_S if not self.has_unsent_response() else TRANSFER_TIMEOUT_S
-            )
-        elif not self.response_count:
-            timed_out = now - self.connected_at > FIRST_REQUEST_TIMEOUT_S
-        elif self.is_idle():
-            # Clients that stay connected after a single request would take up the connections of clients that
-            # send several.
-            timed_out = now - self.last_active_at > (
-                SHORT_KEEPALIVE_TIMEOUT_S
-                if self.response_count == 1 or self.frontend.is_crowded()
-                else KEEPALIVE_TIMEOUT_S
-            )
-        else:
-            timed_out = now - self.last_active_at > TRANSFER_TIMEOUT_S
+        timed_out = self._has_timed_out(now)
         if timed_out and self.request_started_ns and not self.discards_input:
             self._reject(ClientResponse(408, b"the request did not come in time\n"))
         elif timed_out and not (self.is_idle() and self.has_input()):
@@ -242,6 +205,32 @@
         elif self.discards_input:
             self._resume_reading()
 
+    def _has_timed_out(self, now: float) -> bool:
+        """Whether a connection without an open request has had its time.
+
+        The time for the first request runs from connecting, so that sending single bytes does not extend it,
+        and a client that has had its last response cannot keep its connection open by sending more.
+        """
+        if not self.response_count:
+            return now - self.connected_at > FIRST_REQUEST_TIMEOUT_S
+        if self.is_idle():
+            timeout_s = self._keepalive_timeout_s()
+        elif self.is_lingering():
+            timeout_s = LINGERING_CLOSE_TIMEOUT_S
+        else:
+            timeout_s = TRANSFER_TIMEOUT_S
+        return now - self.last_active_at > timeout_s
+
+    def _keepalive_timeout_s(self) -> float:
+        """How long the connection may be idle.
+
+        Clients that stay connected after a single request would take up the connections of clients that send
+        several.
+        """
+        if self.response_count == 1 or self.frontend.is_crowded():
+            return SHORT_KEEPALIVE_TIMEOUT_S
+        return KEEPALIVE_TIMEOUT_S
+
     def refuse_incomplete_request(self) -> None:
         """Refuse the request if only a part of it has arrived."""
         if self.request_started_ns and not self.has_open_request and not self.discards_input:
@@ -392,22 +381,28 @@
         if method == b"HEAD":
             self.keep_alive = False  # a response to HEAD must have no body, but all responses here have one
         if self.target.partition(b"?")[0] == b"/ready":
-            ready = self.frontend.is_ready()
-            self.send_response(
-                ClientResponse(200, b"ready\n") if ready else ClientResponse(503, b"not ready\n")
-            )
+            self.send_response(READY_RESPONSE if self.frontend.is_ready() else NOT_READY_RESPONSE)
             return
         if self.frontend.refuses_requests:
             self.send_response(SERVICE_ENDED_RESPONSE)
             return
         try:
-            client_request = self.frontend.request_reader.read(method, self.target, self.headers, self.body)
-            if self.frontend.driver.is_id_in_use(client_request):
-                raise BadRequest(409, "x-request-id is in use")
+            client_request = self._read_request(method)
         except BadRequest as exc:
             self.keep_alive = False  # such a client usually repeats the request at once, without limit
             self.send_response(ClientResponse(exc.status, f"{exc}\n".encode()))
             return
+        self._submit(client_request)
+
+    def _read_request(self, method: bytes) -> ClientRequest:
+        """The valid request that has been read; raises BadRequest."""
+        client_request = self.frontend.request_reader.read(method, self.target, self.headers, self.body)
+        if self.frontend.driver.is_id_in_use(client_request):
+            raise BadRequest(409, "x-request-id is in use")
+        return client_request
+
+    def _submit(self, client_request: ClientRequest) -> None:
+        """Pass the request to the driver."""
         self.start_message()  # the driver has its own copy
         self.request_id = self.frontend.driver.new_request_id(client_request)
         try:
