Keep overdue queries to the settings agent open too

What callers would see: with an agent that responds more than 0.5 s after each query or its hold, no version of the settings ever came into force.

Change: the settings watch makes its queries by OverlappingCalls. A query that is overdue counts as failed, with the back-off of SettingsControl as before, but stays open; the first response closes all others, as the next query depends on it.

Measured: a test with an agent that is 0.8 s late.

--- a/dykeshift/node/settings_watch.py
+++ b/dykeshift/node/settings_watch.py
@@ -10,13 +10,13 @@
 
 from dykeshift.control import Apply, DocumentError, Ignore, ParsedSettings, Query, Reject, SettingsControl
 from dykeshift.node.address import Address
-from dykeshift.node.call import HttpClient
 from dykeshift.node.connection import Response
+from dykeshift.node.overlapping_calls import CallLimits, OpenCall, OverlappingCalls
 
 log = logging.getLogger(__name__)
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
-LONG_POLL_GRACE_S = 0.5  # after the hold; then a call without a response counts as failed
+LONG_POLL_GRACE_S = 0.5  # after the hold; then a call without a response is overdue
 MIN_HELD_SHARE = 0.5  # of the hold; a response without a newer version that arrives earlier was not held
 STARTUP_WAIT_S = 3.0  # longest wait of a new process for the agent's newest version
 
@@ -24,7 +24,8 @@
 class SettingsWatch(Generic[ParsedSettings]):
     """Queries the agent continuously, with a back-off after failures.
 
-    The settings in force stay until a newer valid version arrives.
+    The settings in force stay until a newer valid version arrives. A query that is overdue counts as failed,
+    but its response is still used if it comes before that of a later one.
     """
 
     def __init__(
@@ -35,12 +36,14 @@
         apply_settings: Callable[[ParsedSettings], bool],
     ) -> None:
         self.loop = loop
+        self.address = address
         self.control = control
         self.apply_settings = apply_settings  # returns whether it succeeded
-        self.client = HttpClient(loop, address, MAX_DOCUMENT_BYTES)
+        self.calls = OverlappingCalls[Query](loop, MAX_DOCUMENT_BYTES, self)
         self.up_to_date = asyncio.Event()  # set once the agent's newest valid version is in force
         self.is_failing = False  # the last call failed
-        self.task = loop.create_task(self._watch())
+        self.back_off: asyncio.TimerHandle | None = None  # until the next query after a failure
+        self._begin_query()
 
     async def wait_until_up_to_date(self) -> None:
         """Wait until the agent's newest version is in force, at most STARTUP_WAIT_S.
@@ -57,37 +60,58 @@
             )
 
     def close(self) -> None:
-        """Stop the watch and close its connection."""
-        self.task.cancel()
-        self.client.close()
-
-    async def _watch(self) -> None:
-        while True:
-            try:
-                await self._query(self.control.next_query())
-            except (OSError, TimeoutError, DocumentError) as exc:
-                await self._back_off(exc)
-
-    async def _query(self, query: Query) -> None:
-        started_at = self.loop.time()
-        response = await self.client.call(query.path, query.hold_s + LONG_POLL_GRACE_S)
-        decision = self._handle_response(response)
+        """Stop the watch and close its connections."""
+        self._end_back_off()
+        self.calls.close_all()
+
+    def _begin_query(self, after: OpenCall[Query] | None = None) -> None:
+        self.back_off = None
+        query = self.control.next_query()
+        limits = CallLimits(query.hold_s, LONG_POLL_GRACE_S, LONG_POLL_GRACE_S, LONG_POLL_GRACE_S)
+        self.calls.begin(self.address, query.path, query, limits, after)
+
+    def _end_back_off(self) -> None:
+        if self.back_off is not None:
+            self.back_off.cancel()
+            self.back_off = None
+
+    # ---- results of queries ----
+
+    async def on_response(self, call: OpenCall[Query], response: Response) -> None:
+        """Handle the agent's response. Other open queries are out of date with it, and are closed."""
+        age_s = call.age_s()
+        try:
+            decision = self._handle_response(response)
+        except DocumentError as error:
+            self.on_failed(call, error)
+            return
+        self._end_back_off()
+        self.calls.close_all(but=call)
         if self.is_failing:
             log.info("the settings watch works again")
         self.is_failing = False
         if self.control.is_up_to_date():
             self.up_to_date.set()
-        elapsed_s = self.loop.time() - started_at
-        if isinstance(decision, Ignore) and elapsed_s < MIN_HELD_SHARE * query.hold_s:
+        if isinstance(decision, Ignore) and age_s < MIN_HELD_SHARE * call.query.hold_s:
             # An agent that does not hold calls must not be queried more often than one that does.
-            await asyncio.sleep(query.hold_s - elapsed_s)
+            await asyncio.sleep(call.query.hold_s - age_s)
+        self._begin_query(after=call)
+
+    def on_overdue(self, call: OpenCall[Query]) -> None:
+        """Query again after a back-off."""
+        self._back_off(TimeoutError("no response"))
+
+    def on_failed(self, call: OpenCall[Query], error: Exception) -> None:
+        """Query again after a back-off, unless the query was overdue: then that has begun already."""
+        if not call.is_overdue:
+            self._back_off(error)
 
-    async def _back_off(self, failure: Exception) -> None:
+    def _back_off(self, failure: Exception) -> None:
         if not self.is_failing:
             log.warning("the settings watch fails: %s", str(failure) or "no response")
         self.is_failing = True
-        self.client.close()
-        await asyncio.sleep(self.control.on_call_failed())
+        self._end_back_off()
+        self.back_off = self.loop.call_later(self.control.on_call_failed(), self._begin_query)
 
     def _handle_response(self, response: Response) -> Apply[ParsedSettings] | Ignore | Reject:
         if response.status != 200:
--- a/tests/node/test_settings_watch.py
+++ b/tests/node/test_settings_watch.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -37,6 +38,40 @@
     return {"version": version, "settings": settings(**changes)}
 
 
+class SlowSettingsAgent:
+    """An agent that writes each response late: that of the moment when it was due."""
+
+    def __init__(self, delay_s: float) -> None:
+        self.delay_s = delay_s
+        self.version = 0
+        self.open_connections = 0
+        self.address = ("", 0)
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = server.sockets[0].getsockname()[:2]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open_connections += 1
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                path = (await read_message(reader)).start_line.split()[1]
+                await self._hold(path)
+                response = {"version": self.version}
+                if self.version:
+                    response = document(self.version, services=[service(f"fresh-{self.version}", "pure")])
+                await asyncio.sleep(self.delay_s)
+                writer.write(http_response(json.dumps(response).encode()))
+        self.open_connections -= 1
+        writer.close()
+
+    async def _hold(self, path: str) -> None:
+        query = dict(part.split("=") for part in path.partition("?")[2].split("&"))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(int(query["hold_ms"]) / 1000):
+                await wait_until(lambda: self.version > int(query["from"]))
+
+
 def host_port(agent: StubLongPollServer) -> str:
     return "%s:%d" % agent.address
 
@@ -176,6 +211,23 @@
     run(main())
 
 
+def test_a_version_of_an_agent_that_is_always_slow_comes_into_force() -> None:
+    # Guards against: each query is given up before its response comes, so that no version is ever applied.
+    async def main() -> None:
+        stub, agent = await StubServer(responds_with(http_response())).start(), SlowSettingsAgent(0.8)
+        await agent.start()
+        async with running_balancer(stub, control="%s:%d" % agent.address) as balancer:
+            agent.version = 1
+            async with asyncio.timeout(control.LONG_POLL_MS / 1000 + 2 * agent.delay_s + 1.0):
+                await wait_until(lambda: class_names(balancer) == ["fresh-1"])
+            agent.version = 2
+            async with asyncio.timeout(control.LONG_POLL_MS / 1000 + 2 * agent.delay_s + 1.0):
+                await wait_until(lambda: class_names(balancer) == ["fresh-2"])
+            assert agent.open_connections <= 3
+
+    run(main())
+
+
 def test_an_agent_that_does_not_hold_calls_is_not_queried_in_a_busy_loop() -> None:
     async def main() -> None:
         stub = await StubServer(responds_with(http_response())).start()
