Draw slow discovery in the soak

A balancer counts as informed 6 s after its agent could be reached then, in push mode too, and of a response's contents when it is written. The check that it feeds is proved by the deliberate breach of drains, as before.

--- a/emulator/soak/discovery.py
+++ b/emulator/soak/discovery.py
@@ -17,8 +17,8 @@
 from emulator.soak.records import DrainRecord, RunRecords
 from emulator.soak.servers import Server
 
-# In ask mode a balancer counts as informed of a change this long after its agent has the change and can be
-# reached.
+# In ask mode, and in push mode if the agent is slow, a balancer counts as informed of a change this long
+# after its agent has the change and can be reached.
 INFORMED_AFTER_S = 6.0
 ADDRESS_CHANGE_S = 4.0  # a changed discovery address is in use this long after the change at the latest
 CHECK_INTERVAL_S = 0.02  # between two checks of which balancers count as informed
@@ -35,13 +35,22 @@
 
 @dataclass(slots=True)
 class DiscoveryAgent:
-    """The discovery agent of one balancer; it does not respond before `silent_until`."""
+    """The discovery agent of one balancer; it does not respond before `silent_until`, and late after that."""
 
     balancer_index: int
     silent_until: float = 0.0
+    response_delay_s: float = 0.0  # from a call, or the end of its hold, to its response
     address_changed_at: float = -math.inf  # when the balancer last got its other discovery address
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    def informed_at(self, changed_at: float, push_mode: bool) -> float:
+        """Return the time from which the balancer counts as informed although no response has reached it."""
+        if not push_mode:
+            return self.available_at(changed_at) + INFORMED_AFTER_S
+        if self.response_delay_s:
+            return max(changed_at, self.silent_until) + INFORMED_AFTER_S
+        return self.available_at(changed_at)
+
     def available_at(self, changed_at: float) -> float:
         """Return the time from which this agent has a change and its balancer can reach it."""
         ready_at = max(changed_at, self.silent_until)
@@ -117,13 +126,12 @@
 
         In push mode they count as informed as soon as their agent has the change and can be reached.
         """
-        informed_delay_s = 0.0 if self.push_mode else INFORMED_AFTER_S
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = time.monotonic()
             for drain in self.run_records.drains:
                 for agent in self.agents:
-                    informed_at = agent.available_at(drain.changed_at) + informed_delay_s
+                    informed_at = agent.informed_at(drain.changed_at, self.push_mode)
                     if now > informed_at:
                         drain.informed_at.setdefault(agent.balancer_index, informed_at)
 
@@ -131,10 +139,11 @@
         """Record that a starting process counts as informed of all changes."""
         self._note_informed(balancer_index)
 
-    def _note_informed(self, balancer_index: int) -> None:
+    def _note_informed(self, balancer_index: int, changed_until: float = math.inf) -> None:
         now = time.monotonic()
         for drain in self.run_records.drains:
-            drain.informed_at.setdefault(balancer_index, now)
+            if drain.changed_at <= changed_until:
+                drain.informed_at.setdefault(balancer_index, now)
 
     async def _serve(
         self, agent: DiscoveryAgent, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -160,8 +169,9 @@
                 async with asyncio.timeout(hold_until - time.monotonic()):
                     await self.changed.wait()
         await asyncio.sleep(max(0.0, agent.silent_until - time.monotonic()))
+        body, built_at = msgspec.json.encode(self.build_listing(since)), time.monotonic()
+        await asyncio.sleep(agent.response_delay_s)
         if reader.at_eof():
             raise ConnectionResetError("the balancer has closed the connection of its call")
-        body = msgspec.json.encode(self.build_listing(since))
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
-        self._note_informed(agent.balancer_index)
+        self._note_informed(agent.balancer_index, built_at)
--- a/emulator/soak/plan.py
+++ b/emulator/soak/plan.py
@@ -29,6 +29,8 @@
 LARGE_FLEET_SHARE = 0.04  # share of the seeds whose runs have 15 to 30 balancers
 EXTRA_SIGKILL_DELAY_S = 0.7  # from SIGTERM to the earliest SIGKILL, in addition to the longest client timeout
 MAX_COUNTED_CLIENT_TIMEOUT_S = 3.0  # a longer client timeout does not delay SIGKILL further
+SLOW_DISCOVERY_SHARE = 0.4  # share of the seeds with a discovery that responds late
+SLOW_DISCOVERY_DELAYS_S = (0.05, 2.0)
 LOAD_SHARE = 0.7  # load as a share of the capacity of all servers
 STALL_S = 0.14  # length of a stall, which may come at any moment; a balancer has to cope with 0.15 s
 STALLS_PER_BALANCER = 6  # besides one during SIGTERM and one just before SIGKILL
@@ -58,6 +60,7 @@
     SILENCE_DISCOVERY = "discovery is silent"
     RESET_DISCOVERY_CALLS = "open calls to discovery are reset"
     DELAY_LISTS = "discovery is late"
+    SLOW_DISCOVERY = "discovery responds late to each call from now on"
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +189,10 @@
         / LOAD_SHARE,
         limits=limits,
         client_profile=client_profile,
-        events=_draw_events(random, seconds, balancer_count, server_count, _sigkill_delay_s(limits)),
+        events=_in_order(
+            _draw_events(random, seconds, balancer_count, server_count, _sigkill_delay_s(limits))
+            + _draw_slow_discovery(Random(f"soak slow discovery/{seed}"), seconds)
+        ),
         client_network_faults=StreamFaults(split_share=random.choice([0.0, 0.1])),
         server_response_faults=tuple(_draw_response_faults(random) for _ in range(server_count)),
         process_faults=tuple(
@@ -197,7 +203,7 @@
 
 def _draw_events(
     random: Random, seconds: float, balancer_count: int, server_count: int, sigkill_delay_s: float
-) -> tuple[Event, ...]:
+) -> list[Event]:
     events: list[Event] = []
     for balancer_index in random.sample(range(balancer_count), max(1, balancer_count // 2)):
         at_s = random.uniform(0.1, 0.6) * seconds
@@ -231,6 +237,18 @@
         if random.random() < 0.5:
             at_s = random.uniform(0.1, 0.6) * seconds
             events.append(Event(at_s, action, seconds=random.uniform(0.5, 3.0)))
+    return events
+
+
+def _draw_slow_discovery(random: Random, seconds: float) -> list[Event]:
+    """Draw from a source of its own, so that all other draws of a seed are as they were without it."""
+    if random.random() >= SLOW_DISCOVERY_SHARE:
+        return []
+    delay_s = random.uniform(*SLOW_DISCOVERY_DELAYS_S)
+    return [Event(random.uniform(0.0, 0.4) * seconds, Action.SLOW_DISCOVERY, seconds=delay_s)]
+
+
+def _in_order(events: list[Event]) -> tuple[Event, ...]:
     return tuple(sorted(events, key=lambda event: event.at_s))
 
 
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -206,7 +206,9 @@
             self.list_delay_s = LIST_DELAY_S
             return
         for agent in self.discovery.agents:
-            if event.action is Action.SILENCE_DISCOVERY:
+            if event.action is Action.SLOW_DISCOVERY:
+                agent.response_delay_s = event.seconds
+            elif event.action is Action.SILENCE_DISCOVERY:
                 agent.silent_until = time.monotonic() + event.seconds
             else:
                 agent.reset_connections()
