Don't read lists to their end that add nothing

Cause: several calls may be open when a slow or silent discovery responds, and each of the lists was read whole before it was found to be no newer than the one in force.

Change: the head of a document (generation, reset) is judged first, if it stands where discovery writes it.

--- a/dykeshift/node/discovery.py
+++ b/dykeshift/node/discovery.py
@@ -26,6 +26,7 @@
     ServerRow,
     decode_text,
     find_no_server,
+    read_usual_head,
 )
 from dykeshift.node.overlapping_calls import OpenCall, OverlappingCalls
 
@@ -211,19 +212,22 @@
     async def _apply_response(self, call: OpenCall[ListQuery], response: Response, is_late: bool) -> bool:
         """Apply the list in the response; return False if it is unusable.
 
-        A list is unusable if any part of it is invalid, or if the decision module failed over it.
+        A list is unusable if any part of it is invalid, or if the decision module failed over it. One that
+        adds nothing is not read to its end if its head says so: after an outage there may be several.
         """
         if response.status != 200:
             return False
         yield_for_s = YIELDING_READ_SHARE * self.drain_grace_s if self.has_servers else math.inf
         try:
-            listing = await self.reader.read(
-                decode_text(response.body), time.monotonic() + yield_for_s, self.find_server
-            )
+            text = decode_text(response.body)
+            head = read_usual_head(text)
+            if head is not None and self._judge(call, *head) is Verdict.IGNORE:
+                return True
+            listing = await self.reader.read(text, time.monotonic() + yield_for_s, self.find_server)
         except ValueError as exc:
             log.warning("ignoring an invalid list from discovery: %s", exc)
             return False
-        verdict = self.list_in_force.judge(call.query, call.number, listing.generation, listing.is_full)
+        verdict = self._judge(call, listing.generation, listing.is_full)
         if verdict is Verdict.REQUEST_FULL_LIST:
             log.warning(
                 "discovery sent generation %d after %d; requesting the full list",
@@ -233,6 +237,9 @@
             self.list_in_force.forget_generation()
         return verdict is not Verdict.APPLY or self._apply_listing(call, listing, is_late)
 
+    def _judge(self, call: OpenCall[ListQuery], generation: int, is_full: bool) -> Verdict:
+        return self.list_in_force.judge(call.query, call.number, generation, is_full)
+
     def _apply_listing(
         self, call: OpenCall[ListQuery], listing: ServerListing[ListedServer], is_late: bool
     ) -> bool:
--- a/dykeshift/node/listing.py
+++ b/dykeshift/node/listing.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import math
+import re
 import sys
 import time
 from collections.abc import Callable, Generator
@@ -21,6 +22,11 @@
 ROWS_PER_STEP = 100  # one to two milliseconds of work, after which other tasks may run
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
+# How a document usually begins; JSON allows any order and layout.
+_USUAL_HEAD = re.compile(
+    r'\s*\{\s*"generation"\s*:\s*(?P<generation>[0-9]{1,18})\s*,\s*"reset"\s*:\s*(?P<reset>true|false)\s*,'
+)
+
 ServerT = TypeVar("ServerT")
 
 
@@ -57,6 +63,13 @@
     servers: list[ServerT]
 
 
+class ListingHead(NamedTuple):
+    """What a document says about its list before the servers."""
+
+    generation: int
+    is_full: bool
+
+
 # Returns the entry of an earlier list for a server ID, or None.
 FindServer = Callable[[int], ListedServer | None]
 
@@ -79,6 +92,12 @@
     return body.decode(json.detect_encoding(body), "surrogatepass")
 
 
+def read_usual_head(text: str) -> ListingHead | None:
+    """Read the head of a document without reading the rest; return None if it begins in another way."""
+    match = _USUAL_HEAD.match(text)
+    return match and ListingHead(int(match["generation"]), match["reset"] == "true")
+
+
 @lru_cache(maxsize=64)
 def shared_weight(weight: float) -> float:
     """Return one object for all servers of equal weight, as a fleet has few different weights."""
--- a/tests/node/test_listing.py
+++ b/tests/node/test_listing.py
@@ -20,6 +20,7 @@
     ListReader,
     ServerRow,
     parse_listing,
+    read_usual_head,
     server_id_of,
 )
 from dykeshift.node.upstream import Pool
@@ -437,3 +438,46 @@
         config.parse(
             json.dumps({**raw_config, "settings": settings(parties=[{"name": "a", "quotaPerS": 1.0}, party])})
         )
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+@pytest.mark.parametrize("is_full", [True, False])
+def test_usual_head_is_read_without_the_rest(is_full: bool, indent: int | None) -> None:
+    text = json.dumps(listing(41, is_full, instance("s0", ("127.0.0.1", 1))), indent=indent)
+    assert read_usual_head(text) == (41, is_full)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[]",
+        '{"reset": true, "generation": 41, "instances": []}',
+        '{"generation": "41", "reset": true, "instances": []}',
+        '{"generation": -1, "reset": true, "instances": []}',
+        '{"generation": 41, "reset": 1, "instances": []}',
+        '{"generation": 4.1, "reset": true, "instances": []}',
+    ],
+)
+def test_any_other_head_is_left_to_the_reader(text: str) -> None:
+    assert read_usual_head(text) is None
+
+
+def test_lists_that_add_nothing_are_not_read_to_their_end() -> None:
+    """Discovery is silent, and then answers all calls that are still open with the same list."""
+
+    async def main() -> None:
+        stub = await StubServer(responds_with(http_response())).start()
+        async with running_balancer(stub, settings=settings_with_drain_grace(HOUR_NS)) as balancer:
+            other = await StubLongPollServer().start()
+            balancer.switch_discovery(other)
+            await wait_until(lambda: len(other.paths) == 3)  # two calls for the full list are overdue
+            reader = count_rows(balancer)
+            full_list = large_list(3 * ROWS_PER_STEP)
+            for _ in range(3):
+                other.queue_json(full_list)
+            await wait_until(lambda: len(other.paths) == 4)
+            await asyncio.sleep(0.1)
+            assert reader.rows == len(full_list["instances"])
+
+    run(main())
